--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+# PYTHON is the interpreter of the development environment; the CI script hands in its own.
+PYTHON ?= .venv-dev/bin/python
+
+.PHONY: build dev test lint run
+
+build:
+	sh deploy/build.sh
+
+dev:
+	python3 -m venv .venv-dev
+	.venv-dev/bin/pip install -q --disable-pip-version-check -e '.[dev]'
+
+test:
+	$(PYTHON) -m pytest
+
+lint:
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m mypy
