--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,9 @@
 test:
 	$(PYTHON) -m pytest
 
+run:
+	.venv/bin/python -m ironmill serve
+
 lint:
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
--- /dev/null
+++ b/ironmill/config.py
@@ -0,0 +1,77 @@
+"""What the proxy is told at its start: the environment and the configuration file, as typed values."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+import orjson
+
+from ironmill.routing_table import Routing, parse_routing
+from stonegap.interface import Settings
+from stonegap.settings import MalformedError, Tree, settings_from
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """One proxy's configuration. Times are in seconds."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: Routing
+    settings: Settings
+    connect_timeout: float
+    drain_grace: float
+    packets_pass: bool  # connections go on through another proxy when this one ends
+    wait_limits: Mapping[str, float]  # by class: how long a client waits that does not say so
+    shortest_aim: float  # of the aims for a message on an open connection
+
+
+def address(text: str, key: str) -> Address:
+    """HOST:PORT as a pair."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise MalformedError(f"configuration: {key} is not HOST:PORT: {text!r}")
+    return host, int(port)
+
+
+def load(env: Mapping[str, str], path: str | None = None) -> Config:
+    """The configuration from the file and the environment; the variables win over the file."""
+    path = path or env.get("PROXY_CONFIG")
+    if not path:
+        raise MalformedError("configuration: PROXY_CONFIG is not set, and no --config is given")
+    try:
+        root = Tree(orjson.loads(Path(path).read_bytes()), "", "configuration")
+    except OSError as error:
+        raise MalformedError(f"configuration: PROXY_CONFIG: {path}: {error.strerror}") from None
+    except orjson.JSONDecodeError as error:
+        raise MalformedError(f"configuration: PROXY_CONFIG: {path} is not JSON ({error})") from None
+    seed_text = root.text("seed", "0")
+    try:
+        seed = int(seed_text, 16)
+    except ValueError:
+        raise MalformedError(f"configuration: seed is not a hexadecimal number: {seed_text!r}") from None
+    settings_tree = root.tree("settings")
+    settings = settings_from(settings_tree)
+    return Config(
+        name=env.get("PROXY_NAME") or root.text("name"),
+        listen=address(env.get("PROXY_LISTEN") or root.text("listen"), "listen"),
+        discovery=address(env.get("PROXY_DISCOVERY") or root.text("discovery"), "discovery"),
+        seed=seed,
+        sockets=int(root.tree("limits", {}).number("sockets", 1024)),
+        known=parse_routing(root.tree("known", {"rev": 0, "all": True, "targets": []})),
+        settings=settings,
+        connect_timeout=settings_tree.tree("ceilings").number("connectTimeoutS", 1.0),
+        drain_grace=settings_tree.tree("rules").number("drainGraceS", 0.25),
+        packets_pass=settings_tree.tree("familyInfo", {}).text("mode", "proxy") == "pass",
+        wait_limits={
+            item.text("name"): item.number("hardLimitS", 10.0) for item in settings_tree.trees("categories")
+        },
+        shortest_aim=min((cls.message_aim for cls in settings.classes), default=0.1),
+    )
--- /dev/null
+++ b/ironmill/net/client.py
@@ -0,0 +1,324 @@
+"""The driver of one client's connection, with the task that reads it and the task of its leg.
+
+What the gateway orders is done in a task of its own, one turn later: an order may come from within
+either of the two tasks, and neither can end itself halfway through telling the gateway something.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+import math
+import time
+from typing import Any
+
+from ironmill.config import Config
+from ironmill.gateway import Authorisation, Gateway, Leg
+from ironmill.net.issuer_host import LegDriver, LegEnd
+from ironmill.net.sockets import Stream, TimedOutError
+from ironmill.protocol.client import (
+    Asked,
+    ClientEvent,
+    ClientSide,
+    ClientState,
+    FirstLine,
+    Left,
+    Malformed,
+    Onward,
+    Opened,
+    SendingEnded,
+)
+from ironmill.protocol.issuer_host import Relayed
+from ironmill.scheduler import Scheduler, Task
+from stonegap.interface import Outcome
+
+FIRST_LINE_WAIT = 10.0  # for a client's first byte to its first line's end
+FRONT_WAIT = 120.0  # between the front's questions on one connection
+GENTLE = 1.0  # for the other side to take its last line and end as well
+MOVE_WAIT = 0.9  # for the line under way to end; the client must not wait longer for its MOVE
+HALF_CLOSED_WAIT = 6.0  # for an issuer host to end once its client has
+CARRY_WAIT = 38.0  # for a connection that was open before the run to be up again
+CARRY_PAUSE = 0.25
+
+log = logging.getLogger("ironmill.client")
+
+
+def number_of(text: str | None) -> int | None:
+    """A key or group as a number: hexadecimal as clients send it, a digest of anything else."""
+    if not text:
+        return None
+    try:
+        return int(text, 16)
+    except ValueError:
+        return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=6).digest())
+
+
+def request_fields(first: FirstLine) -> dict[str, Any]:
+    """What the decisions are told of a request beyond its class."""
+    fields = first.fields
+    try:
+        hint = max(0.0, float(fields.get("h", "0")))
+    except ValueError:
+        hint = 0.0
+    return {
+        "key": number_of(first.key),
+        "group": number_of(fields.get("g")),
+        "load_hint": hint if math.isfinite(hint) else 0.0,
+        "returning": fields.get("again") == "1" or fields.get("r") == "1",
+        "rerouted": fields.get("mid") == "1",
+    }
+
+
+class ClientDriver:
+    """Owns the client's socket and the leg's; a ``Holder`` to the gateway."""
+
+    def __init__(self, scheduler: Scheduler, gateway: Gateway, config: Config, stream: Stream) -> None:
+        self._scheduler = scheduler
+        self._gateway = gateway
+        self._config = config
+        self._stream = stream
+        self._side = ClientSide()
+        self._first: FirstLine | None = None
+        self._asked = False
+        self._authorisation: Authorisation | None = None
+        self._reader: Task | None = None
+        self._leg: Leg | None = None  # out or standing, as the gateway knows it
+        self._leg_task: Task | None = None
+        self._driver: LegDriver | None = None
+        self._writing = False  # to the client
+        self._client_ended = False
+        self._move_wanted = False
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._reader = self._scheduler.spawn(self._read)
+
+    # From the client
+
+    def _read(self) -> None:
+        try:
+            while self._side.state is not ClientState.OVER:
+                wait = None
+                if self._side.state is ClientState.FIRST:
+                    wait = FRONT_WAIT if self._asked else FIRST_LINE_WAIT
+                data = self._stream.receive(wait)
+                for event in self._side.receive(data) if data else self._side.end():
+                    self._take(event)
+                if not data:
+                    break
+        except TimedOutError:
+            self._side.close()
+            self._finish(b"" if self._asked else b"ERR\r\n")
+        except OSError:
+            self._client_broke()
+        else:
+            if self._side.state is ClientState.OVER and self._authorisation is None and self._first is None:
+                self._finish(b"")  # it left without a word, or a malformed one was answered
+
+    def _take(self, event: ClientEvent) -> None:
+        match event:
+            case Asked():
+                self._asked = True
+                self._stream.send(b"PONG\r\n", GENTLE)
+            case Opened():
+                self._open(event.first)
+            case Malformed():
+                log.info("malformed first line: %s", event.reason)
+                self._stream.send(b"ERR\r\n", GENTLE)
+            case Onward():
+                self._onward(event)
+            case SendingEnded():
+                self._client_ended = True
+                if self._driver is not None and self._driver.stream is not None:
+                    self._driver.stream.finish()
+                self._scheduler.sleep(HALF_CLOSED_WAIT)  # the leg's end ends this task
+                self._client_broke()
+            case Left():
+                self._client_broke()
+
+    def _open(self, first: FirstLine) -> None:
+        came_at = self._gateway.now()
+        self._first = first
+        if "at" in first.fields:
+            self._leg_task = self._scheduler.spawn(self._carry, first)
+            return
+        wait = int(first.fields["d"]) / 1000.0 if "d" in first.fields else None
+        self._authorisation = self._gateway.authorise(
+            self, first.fields["c"], wait, came_at, **request_fields(first)
+        )
+
+    def _onward(self, onward: Onward) -> None:
+        """Bytes to the issuer host. Reading waits meanwhile, so no more than a chunk is ever held."""
+        driver, leg = self._driver, self._leg
+        if not onward.data or driver is None or driver.stream is None or leg is None:
+            return
+        try:
+            driver.stream.send(onward.data)
+        except OSError:
+            return  # the leg's task sees the end as well, and deals with it
+        self._gateway.lines_sent(leg, onward.lines)
+
+    def _client_broke(self) -> None:
+        """The client is gone. Called in the reading task or the leg's."""
+        self._side.close()
+        if self._authorisation is not None:
+            self._gateway.left(self._authorisation)
+        self._drop_leg(Outcome.CANCELLED)
+        if self._client_ended:
+            self._stream.close()
+        else:
+            self._stream.abort()
+
+    # From the gateway
+
+    def start_leg(self, leg: Leg) -> None:
+        """Run the leg in a task of its own."""
+        self._leg = leg
+        self._leg_task = self._scheduler.spawn(self._run_leg, leg)
+
+    def decline(self, retry_after: float) -> None:
+        """``BUSY MS``, at once."""
+        milliseconds = math.ceil(retry_after * 1000.0)
+        self._answer(b"BUSY %d\r\n" % milliseconds if milliseconds > 0 else b"BUSY\r\n")
+
+    def fail(self) -> None:
+        """Any other line than UP or BUSY means that it failed."""
+        self._answer(b"ERR\r\n")
+
+    def move(self) -> None:
+        """``MOVE``, as soon as no line is under way."""
+        if not self._move_wanted:
+            self._move_wanted = True
+            self._scheduler.call_later(MOVE_WAIT, self._scheduler.spawn, self._move, True)
+        self._scheduler.spawn(self._move, False)
+
+    def _answer(self, line: bytes) -> None:
+        self._side.close()
+        self._scheduler.spawn(self._finish, line)
+
+    def _finish(self, line: bytes) -> None:
+        """The last line, and the end of all that is left."""
+        self._drop_leg(Outcome.CANCELLED)
+        if self._stream.closed:
+            return
+        try:
+            self._stream.send(line, GENTLE)
+        except (OSError, TimedOutError):
+            self._stream.abort()
+        else:
+            self._stream.close_gently(GENTLE)
+
+    def _move(self, at_last: bool) -> None:
+        """End a standing connection, between two lines unless the one under way does not end."""
+        driver = self._driver
+        if driver is None or self._leg is None or self._side.state is not ClientState.STANDING:
+            return
+        between = not self._writing and driver.side.between_lines
+        if between or at_last:
+            self._side.close()
+            self._finish(b"MOVE\r\n" if between else b"")
+
+    # The leg
+
+    def _run_leg(self, leg: Leg) -> None:
+        first = self._first
+        assert first is not None
+        line = first.with_wait(max(1, int(leg.timeout * 1000.0)))
+        driver = LegDriver(self._scheduler, self, line)
+        self._driver = driver
+        driver.run(
+            leg.host.address, self._config.connect_timeout, leg.timeout, lambda: self._gateway.may_start(leg)
+        )
+
+    def _carry(self, first: FirstLine) -> None:
+        """A connection that was open before the run goes back to the issuer host that holds it."""
+        deadline = time.monotonic() + CARRY_WAIT
+        while time.monotonic() < deadline:
+            host = self._gateway.issuer_host(first.fields["at"])
+            if host is not None:
+                self._driver = LegDriver(self._scheduler, self, first.raw)
+                left = deadline - time.monotonic()
+                self._driver.run(host.address, self._config.connect_timeout, left, lambda: True)
+                if self._driver.side.stood:
+                    return
+            self._scheduler.sleep(CARRY_PAUSE)
+        self._side.close()
+        self._leg_task = None
+        self._finish(b"ERR\r\n")
+
+    def leg_up(self, driver: LegDriver, data: bytes) -> bool:
+        """Pass UP back; from now on all bytes go on unchanged."""
+        first = self._first
+        if self._side.state is not ClientState.WAITING or first is None:
+            driver.close()
+            return False
+        if self._leg is None:
+            host = self._gateway.issuer_host(first.fields["at"])
+            assert host is not None
+            self._leg = self._gateway.carry(self, host, first.fields["c"], **request_fields(first))
+            self._authorisation = self._leg.authorisation
+        elif not self._gateway.up(self._leg):
+            driver.close()
+            return False
+        early = self._side.stand()
+        if not self._write(data):
+            return False
+        self._onward(early)
+        return True
+
+    def leg_data(self, relayed: Relayed) -> bool:
+        """Bytes to the client. Reading from the issuer host waits meanwhile."""
+        if self._leg is not None:
+            self._gateway.lines_back(self._leg, relayed.answers)
+            for load in relayed.loads:
+                self._gateway.load(self._leg, load)
+        if not self._write(relayed.data):
+            return False
+        if self._move_wanted:
+            self._scheduler.spawn(self._move, False)
+        return True
+
+    def leg_over(self, driver: LegDriver, end: LegEnd) -> None:
+        """The issuer host has ended it: the client's side ends in the same way, or the next leg follows."""
+        leg = self._leg
+        if not end.stood:
+            if leg is None:
+                return  # one that was open before the run: its task tries again
+            self._driver = self._leg_task = self._leg = None
+            if end.outcome is Outcome.OK:
+                self._answer(end.line)
+            self._gateway.ended(leg, end.outcome, end.report)
+            return
+        self._side.close()
+        self._scheduler.kill(self._reader)
+        driver.close()
+        self._leg = self._leg_task = None
+        if leg is not None:
+            left = self._client_ended and end.outcome is Outcome.RESET
+            self._gateway.ended(leg, Outcome.CANCELLED if left else end.outcome, end.report)
+        if end.broke:
+            self._stream.abort()
+        else:
+            self._stream.close_gently(GENTLE)
+
+    def _write(self, data: bytes) -> bool:
+        self._writing = True
+        try:
+            self._stream.send(data)
+        except OSError:
+            self._client_broke()
+            return False
+        finally:
+            self._writing = False
+        return True
+
+    def _drop_leg(self, outcome: Outcome) -> None:
+        """End both tasks but the running one, then the leg's connection; tell the gateway."""
+        leg, self._leg = self._leg, None
+        for task in (self._reader, self._leg_task):
+            if task is not None and not task.is_current():
+                self._scheduler.kill(task)
+        if self._driver is not None:
+            self._driver.close()
+        if leg is not None:
+            self._gateway.ended(leg, outcome)
--- /dev/null
+++ b/ironmill/net/discovery.py
@@ -0,0 +1,90 @@
+"""The watch on discovery: the whole list once, then one call for changes after another."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import orjson
+
+from ironmill.net.sockets import Stream, TimedOutError
+from ironmill.protocol.http import HttpError, Response, ResponseParser
+from ironmill.routing_table import Routing, parse_routing
+from ironmill.scheduler import Scheduler
+from stonegap.settings import MalformedError, Tree
+
+WAIT_MS = 20_000  # how long a call for changes may wait at the agent
+ANSWER_WAIT = 1.9  # beyond that; after 2 s what it had to tell counts as told
+CONNECT_WAIT = 1.0
+PAUSE = 0.1  # after a failure: a watch lasts only if the next call comes within 200 ms
+
+log = logging.getLogger("ironmill.discovery")
+
+
+class Discovery:
+    """Keeps the routing table up to date."""
+
+    def __init__(
+        self, scheduler: Scheduler, address: tuple[str, int], take: Callable[[Routing], None],
+        revision: Callable[[], int],
+    ) -> None:
+        self._scheduler = scheduler
+        self._address = address
+        self._take = take
+        self._revision = revision
+        self._listed = False  # the whole list has come since the start
+        self._stream: Stream | None = None
+        self._parser = ResponseParser()
+        self._failing = False
+
+    def start(self) -> None:
+        """Begin the watch."""
+        self._scheduler.spawn(self._watch)
+
+    def _watch(self) -> None:
+        while True:
+            try:
+                self._call()
+                self._failing = False
+            except (OSError, TimedOutError, HttpError, MalformedError) as error:
+                if not self._failing:
+                    log.warning("discovery: %s %s", type(error).__name__, error)
+                self._failing = True
+                self._hang_up()
+                self._scheduler.sleep(PAUSE)
+
+    def _call(self) -> None:
+        if not self._listed:
+            response = self._ask("/api/targets", ANSWER_WAIT)
+        else:
+            path = f"/api/targets?after={self._revision()}&wait_ms={WAIT_MS}"
+            response = self._ask(path, WAIT_MS / 1000.0 + ANSWER_WAIT)
+        if response.status != 200:
+            raise HttpError(f"status {response.status}")
+        try:
+            routing = parse_routing(Tree(orjson.loads(response.body), "", "routing table"))
+        except orjson.JSONDecodeError as error:
+            raise HttpError(f"not JSON ({error})") from None
+        self._listed = self._listed or routing.full
+        self._take(routing)
+
+    def _ask(self, path: str, timeout: float) -> Response:
+        if self._stream is None:
+            self._stream = Stream.connect(self._scheduler, self._address, CONNECT_WAIT)
+            self._parser = ResponseParser()
+        host, port = self._address
+        self._stream.send(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode(), CONNECT_WAIT)
+        while True:
+            data = self._stream.receive(timeout)
+            responses = self._parser.feed(data) if data else [self._parser.end()]
+            for response in responses:
+                if response is None:
+                    raise HttpError("the connection ended before the answer")
+                if not response.keep_alive:
+                    self._hang_up()
+                return response
+
+    def _hang_up(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
--- /dev/null
+++ b/ironmill/net/listener.py
@@ -0,0 +1,74 @@
+"""Accepts clients' connections and starts a driver for each."""
+
+from __future__ import annotations
+
+import errno
+import logging
+import socket
+from collections.abc import Callable
+
+from ironmill.net.sockets import Stream
+from ironmill.scheduler import READ, Scheduler
+
+BACKLOG = 1024
+AT_ONCE = 64  # accepted in one turn; the others run in between
+PAUSE = 0.05  # when descriptors have run out
+_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+log = logging.getLogger("ironmill.listener")
+
+
+class Listener:
+    """The listening socket."""
+
+    def __init__(
+        self, scheduler: Scheduler, address: tuple[str, int], take: Callable[[Stream], None]
+    ) -> None:
+        self._scheduler = scheduler
+        self._take = take
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._sock.bind(address)
+            self._sock.listen(BACKLOG)
+        except OSError:
+            self._sock.close()
+            raise
+        self._sock.setblocking(False)
+        self._task = scheduler.spawn(self._accept)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        host, port = self._sock.getsockname()
+        return host, port
+
+    def close(self) -> None:
+        """Take no more. What waits to be accepted is taken first, or it would be reset."""
+        self._scheduler.kill(self._task)
+        while self._accept_one():
+            pass
+        self._sock.close()
+
+    def _accept(self) -> None:
+        while True:
+            self._scheduler.wait(self._sock.fileno(), READ)
+            for _ in range(AT_ONCE):
+                if not self._accept_one():
+                    break
+
+    def _accept_one(self) -> bool:
+        try:
+            sock, _ = self._sock.accept()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            if error.errno in _EXHAUSTED:
+                # Guards against a busy loop: the waiting connection keeps the listener readable.
+                log.warning("cannot accept: %s", error.strerror)
+                if not self._task.killed:
+                    self._scheduler.sleep(PAUSE)
+                return False
+            return True  # that one connection broke before it was accepted
+        self._take(Stream(self._scheduler, sock))
+        return True
--- /dev/null
+++ b/ironmill/net/proxy.py
@@ -0,0 +1,46 @@
+"""One proxy: puts scheduler, gateway and drivers together and runs them."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import resource
+
+from ironmill.config import Config
+from ironmill.gateway import Gateway
+from ironmill.net.client import ClientDriver
+from ironmill.net.discovery import Discovery
+from ironmill.net.listener import Listener
+from ironmill.net.shutdown import Shutdown
+from ironmill.net.sockets import Stream
+from ironmill.scheduler import Scheduler
+
+log = logging.getLogger("ironmill")
+
+
+class Proxy:
+    """Listens once it is made; serves until it is told to end."""
+
+    def __init__(self, config: Config) -> None:
+        self._config = config
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft < config.sockets:
+            most = config.sockets if hard == resource.RLIM_INFINITY else min(config.sockets, hard)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+        self.scheduler = Scheduler()
+        self.gateway = Gateway(config, self.scheduler)
+        self.discovery = Discovery(
+            self.scheduler, config.discovery, self.gateway.routing, lambda: self.gateway.revision
+        )
+        self.listener = Listener(self.scheduler, config.listen, self._take)
+
+    def serve(self) -> None:
+        """Run until SIGTERM or SIGINT has been dealt with."""
+        self.discovery.start()
+        Shutdown(self.scheduler, self.gateway, self.listener, self._config).start()
+        gc.freeze()
+        log.info("listening on %s:%d", *self.listener.address)
+        self.scheduler.run()
+
+    def _take(self, stream: Stream) -> None:
+        ClientDriver(self.scheduler, self.gateway, self._config, stream).start()
--- /dev/null
+++ b/ironmill/net/shutdown.py
@@ -0,0 +1,67 @@
+"""A planned end: SIGTERM wakes the poll, and the proxy answers what it owes before it goes."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import socket
+import types
+
+from ironmill.config import Config
+from ironmill.gateway import Gateway
+from ironmill.net.listener import Listener
+from ironmill.scheduler import READ, Scheduler
+
+ACCEPT_FOR = 0.5  # new connections go on coming for up to 0.4 s
+LOOK = 0.02
+LONGEST = 3.0  # a longest deadline below this counts as this
+FLUSH = 0.3
+
+log = logging.getLogger("ironmill.shutdown")
+
+
+class Shutdown:
+    """Waits for the signal and ends the scheduler's run."""
+
+    def __init__(self, scheduler: Scheduler, gateway: Gateway, listener: Listener, config: Config) -> None:
+        self._scheduler = scheduler
+        self._gateway = gateway
+        self._listener = listener
+        self._config = config
+        # A signal's handler cannot end the poll by itself: Python takes the poll up again after it.
+        self._wake, self._bell = socket.socketpair()
+        self._wake.setblocking(False)
+        self._bell.setblocking(False)
+
+    def start(self) -> None:
+        """Take SIGTERM and SIGINT from now on."""
+        signal.set_wakeup_fd(self._bell.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._ignore)
+        self._scheduler.spawn(self._run)
+
+    @staticmethod
+    def _ignore(number: int, frame: types.FrameType | None) -> None:
+        """The byte on the socket pair does the work."""
+
+    def _run(self) -> None:
+        self._scheduler.wait(self._wake.fileno(), READ)
+        self._drain()
+        self._scheduler.stop()
+
+    def _drain(self) -> None:
+        owed, standing = self._gateway.pending(), len(self._gateway.standing())
+        log.info("ending: %d owed an answer, %d stand", owed, standing)
+        self._scheduler.sleep(ACCEPT_FOR)
+        self._listener.close()
+        longest = max(LONGEST, *self._config.wait_limits.values())
+        for _ in range(int(longest / LOOK)):
+            if not self._gateway.pending():
+                break
+            self._scheduler.sleep(LOOK)
+        if not self._config.packets_pass:
+            # Connections that die with this proxy are told so; passing ones go on through another.
+            for authorisation in self._gateway.standing():
+                authorisation.holder.move()
+        self._scheduler.sleep(FLUSH)
+        log.info("ended: %s", self._gateway.counts)
--- /dev/null
+++ b/ironmill/net/sockets.py
@@ -0,0 +1,107 @@
+"""A stream socket whose waits park the task instead of the process."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+import socket
+import struct
+
+from ironmill.scheduler import READ, WRITE, Scheduler
+
+CHUNK = 16 * 1024  # the most that is read at once, and so the most that is held for the other side
+_LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+class TimedOutError(Exception):
+    """A wait on a socket took too long."""
+
+
+class Stream:
+    """A connected, non-blocking socket."""
+
+    def __init__(self, scheduler: Scheduler, sock: socket.socket) -> None:
+        self._scheduler = scheduler
+        self._sock = sock
+        self.closed = False
+        sock.setblocking(False)
+        if sock.family in (socket.AF_INET, socket.AF_INET6):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    @classmethod
+    def connect(cls, scheduler: Scheduler, address: tuple[str, int], timeout: float) -> Stream:
+        """A new connection; OSError if it is refused, TimedOutError if it does not come up in time."""
+        stream = cls(scheduler, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        try:
+            code = stream._sock.connect_ex(address)
+            if code == errno.EINPROGRESS:
+                if not scheduler.wait(stream._sock.fileno(), WRITE, timeout):
+                    raise TimedOutError
+                code = stream._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, os.strerror(code))
+        except BaseException:  # also GreenletExit: the descriptor must not outlive a killed task
+            stream.close()
+            raise
+        return stream
+
+    def receive(self, timeout: float | None = None) -> bytes:
+        """Some bytes, none at the end. Tries first: mostly the bytes are what woke the task."""
+        while True:
+            try:
+                return self._sock.recv(CHUNK)
+            except BlockingIOError:
+                pass
+            if not self._scheduler.wait(self._sock.fileno(), READ, timeout):
+                raise TimedOutError
+
+    def send_some(self, data: bytes | memoryview, timeout: float | None = None) -> int:
+        """Write what the socket takes, waiting until it takes something."""
+        while True:
+            try:
+                return self._sock.send(data)
+            except BlockingIOError:
+                pass
+            if not self._scheduler.wait(self._sock.fileno(), WRITE, timeout):
+                raise TimedOutError
+
+    def send(self, data: bytes, timeout: float | None = None) -> None:
+        """Write all of it."""
+        rest = memoryview(data)
+        while rest:
+            rest = rest[self.send_some(rest, timeout) :]
+
+    def finish(self) -> None:
+        """End the sending; the other direction stays."""
+        with contextlib.suppress(OSError):  # the other side may be faster
+            self._sock.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        """Close it. No task may be waiting on it."""
+        self.closed = True
+        self._sock.close()
+
+    def abort(self) -> None:
+        """Close it with a reset, as a broken connection ends."""
+        if not self.closed:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+            self.close()
+
+    def close_gently(self, timeout: float) -> None:
+        """End the sending and read to the other side's end, so that no reset overtakes the last bytes."""
+        self.finish()
+        timer = self._scheduler.call_later(timeout, self._shut)
+        try:
+            while self.receive():
+                pass
+        except OSError:
+            pass
+        finally:
+            self._scheduler.cancel(timer)
+            self.close()
+
+    def _shut(self) -> None:
+        """Wakes whoever reads: what follows is the end."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/ironmill/protocol/issuer_host.py
@@ -0,0 +1,154 @@
+"""An issuer host's side of one leg as a state machine: what is written and what comes back."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import TypeAlias
+
+from ironmill.protocol.lines import END, Lines, LineTooLongError
+from stonegap.interface import Outcome
+
+Report = tuple[tuple[str, float], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Up:
+    """The connection stands. The data is the UP line and goes to the client as it is."""
+
+    data: bytes
+    later: bytes  # what came behind it, to be fed again once the client has the UP line
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """The issuer host gave another answer than UP."""
+
+    outcome: Outcome
+    line: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Relayed:
+    """Bytes for the client; how many lines among them answer one of the client's."""
+
+    data: bytes
+    answers: int
+    loads: tuple[float, ...]  # what LOAD lines among them tell
+
+
+LegEvent: TypeAlias = Up | Declined | Relayed
+
+
+class LegState(Enum):
+    """Where a leg is."""
+
+    CONNECTING = auto()
+    ASKING = auto()  # its first line is not wholly written
+    WAITING = auto()
+    STANDING = auto()
+    OVER = auto()
+
+
+ANSWERS = {b"BUSY": Outcome.FULL, b"ERR": Outcome.ERROR, b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
+PARTINGS = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED, b"ERR": Outcome.ERROR}
+
+
+def parse_report(text: bytes) -> Report:
+    """The load report at the end of a line; empty where there is none or it is not understood."""
+    pairs = []
+    for part in text.decode("ascii", "replace").split(","):
+        name, equals, value = part.partition("=")
+        try:
+            pairs.append((name, float(value)))
+        except ValueError:
+            return ()
+        if not equals:
+            return ()
+    return tuple(pairs)
+
+
+class IssuerHostSide:
+    """What one leg has written and read."""
+
+    def __init__(self, first_line: bytes) -> None:
+        self.state = LegState.CONNECTING
+        self.unwritten = first_line
+        self.report: Report = ()
+        self.stood = False
+        self._raw = b""
+        self._lines = Lines()
+        self._parting = Outcome.RESET
+
+    @property
+    def between_lines(self) -> bool:
+        """True if what went to the client ends with a whole line."""
+        return self._lines.between
+
+    def connected(self) -> bytes:
+        """The connection is up: what to write."""
+        self.state = LegState.ASKING
+        return self.unwritten
+
+    def wrote(self, count: int) -> bytes:
+        """So many bytes were taken: what is left to write."""
+        self.unwritten = self.unwritten[count:]
+        if not self.unwritten:
+            self.state = LegState.WAITING
+        return self.unwritten
+
+    def receive(self, data: bytes) -> list[LegEvent]:
+        """The issuer host sent these bytes."""
+        if self.state is LegState.STANDING:
+            return [self._relay(data)]
+        if self.state is LegState.OVER:
+            return []
+        self._raw += data
+        try:
+            lines = self._lines.feed(data)
+        except LineTooLongError:
+            return [self._declined(Outcome.ERROR, b"")]
+        if not lines:
+            return []
+        word, _, rest = lines[0].partition(b" ")
+        if word != b"UP":
+            self.report = parse_report(rest)
+            return [self._declined(ANSWERS.get(word, Outcome.ERROR), lines[0])]
+        self.state, self.stood = LegState.STANDING, True
+        first, later = self._raw[: len(lines[0]) + 2], self._raw[len(lines[0]) + 2 :]
+        self._raw = b""
+        self._lines = Lines(strict=False)
+        return [Up(first, later)]
+
+    def _declined(self, outcome: Outcome, line: bytes) -> Declined:
+        self.state = LegState.OVER
+        return Declined(outcome, line + END)
+
+    def _relay(self, data: bytes) -> Relayed:
+        answers, loads = 0, []
+        for line in self._lines.feed(data):
+            word, _, rest = line.partition(b" ")
+            self._parting = PARTINGS.get(word, Outcome.RESET)
+            if word == b"LOAD":
+                with contextlib.suppress(ValueError):  # the line goes on all the same
+                    loads.append(float(rest))
+            elif word in PARTINGS:
+                self.report = parse_report(rest)
+            else:
+                answers += 1
+        return Relayed(data, answers, tuple(loads))
+
+    def end(self) -> Outcome:
+        """The connection ended, broke or never came up: the leg's outcome."""
+        before, self.state = self.state, LegState.OVER
+        if before in (LegState.CONNECTING, LegState.ASKING):
+            return Outcome.CONNECT_FAILED
+        return self._parting if before is LegState.STANDING else Outcome.RESET
+
+    def time_out(self) -> Outcome:
+        """The proxy stops waiting. A leg whose first line was not wholly written has never run."""
+        before, self.state = self.state, LegState.OVER
+        if before in (LegState.CONNECTING, LegState.ASKING):
+            return Outcome.CONNECT_FAILED
+        return Outcome.TIMEOUT
--- /dev/null
+++ b/ironmill/routing_table.py
@@ -0,0 +1,114 @@
+"""The routing table: discovery's list of issuer hosts, and what its changes mean to the decisions."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+
+from stonegap.interface import Entry, ListChanged, ListKind, Stage
+from stonegap.settings import MalformedError, Tree
+
+STAGES = {"up": Stage.READY, "draining": Stage.DRAINING, "removed": Stage.GONE}
+
+log = logging.getLogger("ironmill.routing_table")
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One issuer host as discovery lists it."""
+
+    uid: str
+    host: str
+    port: int
+    stage: Stage
+    zone: str
+    cell: int
+    weight: float
+    boot: float  # Unix time in seconds; 0: long ago
+
+
+@dataclass(frozen=True, slots=True)
+class Routing:
+    """One answer of discovery."""
+
+    revision: int
+    full: bool
+    listed: tuple[Listed, ...]
+
+
+def parse_routing(tree: Tree) -> Routing:
+    """The answer from its JSON object. A state that is not known is passed over."""
+    listed = []
+    for item in tree.trees("targets"):
+        stage = STAGES.get(item.text("state"))
+        host, _, port = item.text("endpoint").rpartition(":")
+        if not host or not port.isdigit():
+            raise MalformedError(f"routing table: the endpoint of {item.text('uid')} is not HOST:PORT")
+        if stage is not None:
+            listed.append(
+                Listed(
+                    uid=item.text("uid"), host=host, port=int(port), stage=stage, zone=item.text("az", ""),
+                    cell=int(item.number("pod_group", 0.0)), weight=item.number("capacity_hint", 1.0),
+                    boot=item.number("boot_ms", 0.0) / 1000.0,
+                )
+            )
+    return Routing(int(tree.number("rev")), tree.flag("all", False), tuple(listed))
+
+
+@dataclass(slots=True)
+class IssuerHost:
+    """What is held of one issuer host. It stays known once it has been told, also after it left."""
+
+    number: int
+    uid: str
+    address: tuple[str, int]
+    leaving_since: float | None = None  # when this proxy was told that it drains or is gone
+
+
+class RoutingTable:
+    """Numbers for uids, endpoints, and the age of what was told of a leaving issuer host."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._by_uid: dict[str, IssuerHost] = {}
+        self._by_number: dict[int, IssuerHost] = {}
+
+    def apply(self, routing: Routing, now: float) -> ListChanged:
+        """Take in an answer; what it means to the decisions."""
+        self.revision = routing.revision
+        entries = tuple(self._entry(listed, now) for listed in routing.listed)
+        if routing.full:
+            # A full list drops whatever it does not name.
+            present = {listed.uid for listed in routing.listed}
+            for host in self._by_uid.values():
+                if host.uid not in present:
+                    self._leave(host, now)
+        return ListChanged(ListKind.FULL if routing.full else ListKind.DELTA, entries)
+
+    def by_uid(self, uid: str) -> IssuerHost | None:
+        """The issuer host of that uid, if it has ever been told."""
+        return self._by_uid.get(uid)
+
+    def by_number(self, number: int) -> IssuerHost | None:
+        """The issuer host that the decisions know by this number."""
+        return self._by_number.get(number)
+
+    def _entry(self, listed: Listed, now: float) -> Entry:
+        address = (listed.host, listed.port)
+        host = self._by_uid.get(listed.uid)
+        if host is None:
+            log.info("issuer host %s: first told, %s", listed.uid, listed.stage.value)
+            host = IssuerHost(len(self._by_uid) + 1, listed.uid, address)
+            self._by_uid[listed.uid] = self._by_number[host.number] = host
+        host.address = address
+        if listed.stage is Stage.READY:
+            host.leaving_since = None
+        else:
+            self._leave(host, now)
+        return Entry(host.number, listed.stage, listed.zone, listed.cell, listed.boot, listed.weight)
+
+    @staticmethod
+    def _leave(host: IssuerHost, now: float) -> None:
+        if host.leaving_since is None:
+            log.info("issuer host %s: leaves", host.uid)
+            host.leaving_since = now
--- /dev/null
+++ b/stonegap/settings.py
@@ -0,0 +1,134 @@
+"""The settings object of an operator, read key by key. The simulator adapter and the proxy share it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TypeVar
+
+import orjson
+
+from stonegap.interface import Effect, Prices, RequestClass, Scope, Settings, Tenant
+
+T = TypeVar("T")
+
+EFFECTS = {"pure": Effect.SAFE, "token": Effect.KEYED, "side_effect": Effect.UNSAFE}
+SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
+
+
+class MalformedError(Exception):
+    """Input that breaks the form agreed on. Its text says what is wrong."""
+
+
+class Tree:
+    """A JSON object whose values are fetched with their type; errors name the key in full."""
+
+    def __init__(self, value: object, path: str = "", what: str = "settings") -> None:
+        if not isinstance(value, dict):
+            raise MalformedError(f"{what}: {path or 'the whole'} is not an object")
+        self._items: Mapping[str, object] = value
+        self._path = path
+        self._what = what
+
+    def _get(self, key: str, default: object) -> tuple[str, object]:
+        path = f"{self._path}.{key}" if self._path else key
+        value = self._items.get(key)
+        if value is None:  # the wire writes null for what it leaves out
+            value = default
+        if value is None:
+            raise MalformedError(f"{self._what}: {path} is missing")
+        return path, value
+
+    def number(self, key: str, default: float | None = None) -> float:
+        path, value = self._get(key, default)
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            raise MalformedError(f"{self._what}: {path} is not a number")
+        return float(value)
+
+    def text(self, key: str, default: str | None = None) -> str:
+        path, value = self._get(key, default)
+        if not isinstance(value, str):
+            raise MalformedError(f"{self._what}: {path} is not a text")
+        return value
+
+    def flag(self, key: str, default: bool) -> bool:
+        path, value = self._get(key, default)
+        if not isinstance(value, bool):
+            raise MalformedError(f"{self._what}: {path} is not true or false")
+        return value
+
+    def choice(self, key: str, choices: Mapping[str, T], default: str | None = None) -> T:
+        text = self.text(key, default)
+        if text not in choices:
+            path = f"{self._path}.{key}" if self._path else key
+            raise MalformedError(f"{self._what}: {path} has the unknown value {text!r}")
+        return choices[text]
+
+    def tree(self, key: str, default: dict[str, object] | None = None) -> Tree:
+        path, value = self._get(key, default)
+        return Tree(value, path, self._what)
+
+    def trees(self, key: str, default: list[object] | None = None) -> list[Tree]:
+        path, value = self._get(key, default)
+        if not isinstance(value, list):
+            raise MalformedError(f"{self._what}: {path} is not a list")
+        return [Tree(item, f"{path}[{at}]", self._what) for at, item in enumerate(value)]
+
+    def numbers(self, key: str) -> list[float]:
+        """A list of numbers, null read as 0; empty where the key is absent."""
+        path, value = self._get(key, [])
+        if not isinstance(value, list):
+            raise MalformedError(f"{self._what}: {path} is not a list")
+        items = [0.0 if item is None else item for item in value]
+        if any(isinstance(item, bool) or not isinstance(item, (int, float)) for item in items):
+            raise MalformedError(f"{self._what}: {path} holds something that is not a number")
+        return [float(item) for item in items]
+
+
+def parse_settings(text: str) -> Settings:
+    """The settings from the start message's JSON text."""
+    try:
+        value = orjson.loads(text)
+    except orjson.JSONDecodeError as error:
+        raise MalformedError(f"settings: not JSON ({error})") from None
+    return settings_from(Tree(value))
+
+
+def settings_from(root: Tree) -> Settings:
+    """The settings from the parsed object."""
+    family = root.tree("familyInfo", {})
+    ceilings, rules, prices = root.tree("ceilings"), root.tree("rules"), root.tree("prices", {})
+    aims, quotas = family.numbers("messageAimS"), family.numbers("tenantQuotaConnections")
+    classes = []
+    for at, item in enumerate(root.trees("categories")):
+        aim = item.number("aimS")
+        classes.append(
+            RequestClass(
+                name=item.text("name"),
+                aim=aim,
+                worth=item.number("points", 1.0),
+                message_aim=aims[at] if at < len(aims) else aim,
+                effect=item.choice("effect", EFFECTS),
+                scope=item.choice("group", SCOPES, "all"),
+                window=item.number("windowS", 0.0),
+            )
+        )
+    tenants = [
+        Tenant(item.text("name"), item.number("quotaRps", 0.0), quotas[at] if at < len(quotas) else 0.0)
+        for at, item in enumerate(root.trees("projects", []))
+    ]
+    return Settings(
+        relays=int(root.number("balancers")),
+        classes=tuple(classes),
+        tenants=tuple(tenants),
+        prices=Prices(handshake=prices.number("handshake", 0.0)),
+        ask_discovery=root.choice("discovery", {"push": False, "ask": True}),
+        ask_within=rules.number("askWithinS", 10.0),
+        cold_from=rules.number("coldFrom"),
+        ramp_time=rules.number("rampTimeS"),
+        fall_multiple=rules.number("fallMultiple"),
+        tip_after=rules.number("tipAfterS"),
+        max_attempts=int(ceilings.number("sendCap")),
+        retry_after_max=ceilings.number("maxRetryAfterS", 0.0) if ceilings.flag("retryAfter", False) else 0.0,
+        keepalive=ceilings.number("keepaliveS", 0.0),
+        round_gap=root.number("roundS", 0.001),
+    )
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -14,7 +14,8 @@
 import pytest
 
 from stonegap.balance import Balancer
-from stonegap.wirehost import MalformedError, main, parse_settings
+from stonegap.settings import MalformedError, parse_settings
+from stonegap.wirehost import main
 
 SETTINGS: dict[str, Any] = {
     "balancers": 3,
