Tests of the state machines, gateway, meter and configuration; no re-armed early timer

Seen: with a clock that stands still, the delay meter's slowness timer set itself again for ever; and a line just on the threshold stopped the telling, so that a silent issuer host was told of once instead of once a second. Checked: the loop is in delay.py, _slow by way of _watch: threshold minus age leaves a rounding above zero. Ruled out: the library's timers, whose order is right. On a real clock it costs a turn or two, but the second fault is real. Mended: _slow arms the silence timer itself and tells without asking again.

--- a/ironmill/delay.py
+++ b/ironmill/delay.py
@@ -99,19 +99,18 @@
 
     def _watch(self, connection: str, lines: _Lines) -> None:
         """A timer for the oldest unanswered line: first for slowness, then for silence."""
-        age = self._clock() - lines.sent[0]
-        if age < self._threshold:
-            lines.timer = self._timers.call_later(self._threshold - age, self._slow, connection, lines)
-        else:
-            left = max(0.0, SILENT_AFTER - age)
-            lines.timer = self._timers.call_later(left, self._give_up, connection, lines)
+        left = max(0.0, self._threshold - (self._clock() - lines.sent[0]))
+        lines.timer = self._timers.call_later(left, self._slow, connection, lines)
 
     def _slow(self, connection: str, lines: _Lines) -> None:
-        lines.timer = None
+        # Not by way of _watch: a timer that is early by a rounding would be set again and again.
+        left = max(0.0, SILENT_AFTER - (self._clock() - lines.sent[0]))
+        lines.timer = self._timers.call_later(left, self._give_up, connection, lines)
         self._last = connection
-        self._watch(connection, lines)
         if self._telling is None:
-            self._report()
+            # Told without asking whether it is over: at this moment it lies just on the threshold.
+            self._telling = self._timers.call_later(PERIOD, self._report)
+            self._tell(connection, self.delay())
 
     def _give_up(self, connection: str, lines: _Lines) -> None:
         lines.timer = None
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,78 @@
+"""The command line and the configuration: what is wrong is said in one line that names the key."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from ironmill import __version__
+from ironmill.cli import main
+from ironmill.config import load
+from tests.test_wirehost import SETTINGS
+
+CONFIG: dict[str, Any] = {
+    "name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096},
+    "known": {"rev": 41, "all": True, "targets": [{"uid": "s-1", "endpoint": "127.0.0.1:9", "state": "up"}]},
+    "settings": SETTINGS,
+}
+
+
+def written(path: Path, *changes: tuple[str, object]) -> str:
+    value = orjson.loads(orjson.dumps(CONFIG))
+    for key, new in changes:
+        place = value
+        *steps, last = key.split(".")
+        for step in steps:
+            place = place[step]
+        place[last] = new
+    file = path / "config.json"
+    file.write_bytes(orjson.dumps(value))
+    return str(file)
+
+
+def test_variables_win_over_the_file(tmp_path: Path) -> None:
+    config = load({"PROXY_CONFIG": written(tmp_path), "PROXY_NAME": "n9", "PROXY_LISTEN": "127.0.0.5:77"})
+    assert (config.name, config.listen, config.discovery) == ("n9", ("127.0.0.5", 77), ("127.0.0.1", 8500))
+    assert (config.seed, config.sockets, config.known.revision) == (0x8C1F30D27A5BE964, 4096, 41)
+    assert (config.shortest_aim, config.drain_grace, config.packets_pass) == (0.1, 1.0, False)
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        (("listen", "here"), "listen"), (("discovery", "127.0.0.1:99999"), "discovery"),
+        (("seed", "xyz"), "seed"), (("settings.rules.coldFrom", None), "settings.rules.coldFrom"),
+        (("limits.sockets", "many"), "limits.sockets"),
+        (("settings.ceilings", 5), "settings.ceilings"), (("known.targets", {}), "known.targets"),
+        (("settings.discovery", "shout"), "settings.discovery"), (("name", None), "name"),
+    ],
+)
+def test_a_bad_configuration_is_one_line_that_names_the_key(
+    change: tuple[str, object], named: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    for command in ("serve", "check-config"):
+        assert main([command, "--config", written(tmp_path, change)]) == 2
+        out, err = capsys.readouterr()
+        assert (out, err.count("\n")) == ("", 1)
+        assert f"configuration: {named} " in err
+
+
+def test_files_that_are_missing_or_not_json(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.delenv("PROXY_CONFIG", raising=False)
+    (tmp_path / "bad").write_text("{")
+    for args in ([], ["--config", str(tmp_path / "none")], ["--config", str(tmp_path / "bad")]):
+        assert main(["check-config", *args]) == 2
+        assert "PROXY_CONFIG" in capsys.readouterr().err
+
+
+def test_the_other_sub_commands(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["version"]) == 0
+    assert main(["check-config", "--config", written(tmp_path)]) == 0
+    expected = f"ironmill {__version__}\nironmill: the configuration of n3 is fit for use\n"
+    assert capsys.readouterr().out == expected
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,326 @@
+"""The gateway, its delay meter and its routing table, without sockets and on a clock of the tests' own."""
+
+from __future__ import annotations
+
+import itertools
+import sched
+import time
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from ironmill.config import Config
+from ironmill.delay import SILENT_AFTER, DelayMeter
+from ironmill.gateway import ANSWER_OVERDUE, Gateway, Leg
+from ironmill.routing_table import Listed, Routing, RoutingTable, parse_routing
+from stonegap.balance import Balancer
+from stonegap.interface import Abandoned, Carried, Ended, Event, ListKind, Outcome, Stage
+from stonegap.settings import MalformedError, Tree
+from tests.helpers import SETTINGS
+
+
+class FakeTimers:
+    """The library's timers on a clock that stands until it is moved; also the process's clock."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 1000.0
+        self._timers = sched.scheduler(lambda: self.now, lambda _: None)
+        monkeypatch.setattr(time, "monotonic", lambda: self.now)
+
+    def call_later(self, delay: float, action: Callable[..., object], *args: Any) -> sched.Event:
+        return self._timers.enterabs(self.now + delay, 0, action, args)
+
+    def cancel(self, timer: sched.Event | None) -> None:
+        if timer in self._timers.queue:
+            assert timer is not None
+            self._timers.cancel(timer)
+
+    def run(self, span: float) -> None:
+        end = self.now + span
+        while self._timers.queue and self._timers.queue[0].time <= end:
+            self.now = max(self.now, self._timers.queue[0].time)
+            self._timers.run(blocking=False)
+        self.now = end
+
+
+def listed(uid: str, stage: Stage = Stage.READY, boot: float = 0.0) -> Listed:
+    return Listed(uid, "127.0.0.1", 9, stage, "a", 0, 1.0, boot)
+
+
+KNOWN = Routing(1, True, (listed("s-1"), listed("s-2"), listed("s-3")))
+
+
+def config(known: Routing = KNOWN, **changes: Any) -> Config:
+    fields: dict[str, Any] = {
+        "name": "n0", "listen": ("127.0.0.1", 0), "discovery": ("127.0.0.1", 9), "seed": 1, "sockets": 1024,
+        "known": known, "settings": SETTINGS, "connect_timeout": 0.2, "drain_grace": 0.25,
+        "packets_pass": True, "wait_limits": {"read": 2.0}, "shortest_aim": 0.15,
+    }
+    return Config(**(fields | changes))
+
+
+class FakeHolder:
+    """Remembers what it was ordered."""
+
+    def __init__(self) -> None:
+        self.legs: list[Leg] = []
+        self.answers: list[str] = []
+        self.moves = 0
+
+    def start_leg(self, leg: Leg) -> None:
+        assert all(before.ended for before in self.legs), "legs overlap"
+        self.legs.append(leg)
+
+    def decline(self, retry_after: float) -> None:
+        self.answers.append(f"BUSY {retry_after:.3f}")
+
+    def fail(self) -> None:
+        self.answers.append("ERR")
+
+    def move(self) -> None:
+        self.moves += 1
+
+
+@pytest.fixture
+def timers(monkeypatch: pytest.MonkeyPatch) -> FakeTimers:
+    return FakeTimers(monkeypatch)
+
+
+class GatewayMachine(RuleBasedStateMachine):
+    """A model of authorisations: one answer each, one end for each leg, never two legs at once."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.patch = pytest.MonkeyPatch()
+        self.timers = FakeTimers(self.patch)
+        self.fed: list[Event] = []
+        handle = Balancer.handle
+
+        def recorded(balancer: Balancer, event: Event, now: float) -> Any:
+            self.fed.append(event)
+            return handle(balancer, event, now)
+
+        self.patch.setattr(Balancer, "handle", recorded)
+        self.gateway = Gateway(config(), self.timers)
+        self.holders: list[tuple[FakeHolder, Any]] = []
+        self.up: set[str] = set()
+        self.left: set[str] = set()
+
+    def teardown(self) -> None:
+        self.timers.run(5.0)  # whatever is owed has been answered by then
+        for holder, authorisation in self.holders:
+            settled = len(holder.answers) + (authorisation.id in self.up) + (authorisation.id in self.left)
+            assert settled == 1, (holder.answers, authorisation)
+        assert self.gateway.pending() == 0
+        self.patch.undo()
+
+    def out(self) -> list[Leg]:
+        return [holder.legs[-1] for holder, _ in self.holders if holder.legs and not holder.legs[-1].ended]
+
+    @rule(wait=st.sampled_from([0.0, 0.05, 1.0, None]), mid=st.booleans())
+    def authorise(self, wait: float | None, mid: bool) -> None:
+        holder = FakeHolder()
+        authorisation = self.gateway.authorise(holder, "read", wait, self.gateway.now(), rerouted=mid)
+        self.holders.append((holder, authorisation))
+
+    @precondition(lambda self: self.out())
+    @rule(pick=st.integers(0, 99))
+    def stand(self, pick: int) -> None:
+        leg = self.out()[pick % len(self.out())]
+        owed = not leg.authorisation.over
+        assert self.gateway.up(leg) == owed
+        if owed:
+            self.up.add(leg.authorisation.id)
+
+    @precondition(lambda self: self.out())
+    @rule(pick=st.integers(0, 99), outcome=st.sampled_from([o for o in Outcome if o is not Outcome.OK]))
+    def end(self, pick: int, outcome: Outcome) -> None:
+        leg = self.out()[pick % len(self.out())]
+        self.gateway.ended(leg, outcome)
+        self.gateway.ended(leg, Outcome.RESET)  # told once, however often it is called
+
+    @precondition(lambda self: self.holders)
+    @rule(pick=st.integers(0, 99))
+    def leave(self, pick: int) -> None:
+        holder, authorisation = self.holders[pick % len(self.holders)]
+        if not authorisation.over:
+            self.left.add(authorisation.id)
+        self.gateway.left(authorisation)
+        if holder.legs:
+            self.gateway.ended(holder.legs[-1], Outcome.CANCELLED)
+
+    @rule(span=st.sampled_from([0.01, 0.2, 3.0]))
+    def wait(self, span: float) -> None:
+        self.timers.run(span)
+
+    @rule(stage=st.sampled_from([Stage.READY, Stage.DRAINING, Stage.GONE]), full=st.booleans())
+    def told(self, stage: Stage, full: bool) -> None:
+        self.gateway.routing(Routing(2, full, (listed("s-2", stage),)))
+
+    @invariant()
+    def one_end_for_each_leg(self) -> None:
+        ends = [(event.id, event.attempt) for event in self.fed if isinstance(event, Ended)]
+        assert len(ends) == len(set(ends))
+        legs = [leg for holder, _ in self.holders for leg in holder.legs]
+        assert set(ends) >= {(leg.authorisation.id, leg.number) for leg in legs if leg.ended}
+
+
+TestGateway = GatewayMachine.TestCase
+
+
+def test_a_decision_that_never_comes_is_answered_all_the_same(
+    timers: FakeTimers, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards the rule that every request has its answer, also where the decisions raise."""
+    gateway, holder = Gateway(config(), timers), FakeHolder()
+
+    def broken(*_: object) -> None:
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(Balancer, "handle", broken)
+    gateway.authorise(holder, "read", 1.0, gateway.now())
+    timers.run(0.9)
+    assert holder.answers == []
+    timers.run(0.1 + ANSWER_OVERDUE)
+    assert holder.answers == ["ERR"]
+
+
+def test_a_leg_may_not_start_late_on_a_leaving_issuer_host(timers: FakeTimers) -> None:
+    """Guards the drain rule for a leg that was ordered in time but is slow to connect."""
+    gateway, holder = Gateway(config(Routing(1, True, (listed("s-1"),))), timers), FakeHolder()
+    gateway.authorise(holder, "read", 1.0, gateway.now())
+    (leg,) = holder.legs
+    gateway.routing(Routing(2, False, (listed("s-1", Stage.DRAINING),)))
+    assert gateway.may_start(leg)
+    gateway.routing(Routing(3, False, (listed("s-1", Stage.GONE),)))
+    timers.run(0.24)
+    assert not gateway.may_start(leg)
+    gateway.routing(Routing(4, False, (listed("s-1"),)))
+    assert gateway.may_start(leg)
+
+
+def test_a_carried_connection_is_told_also_at_a_retired_issuer_host(
+    timers: FakeTimers, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gateway, fed = Gateway(config(), timers), list[Event]()
+    gateway.routing(Routing(2, True, (listed("s-2"),)))
+    handle = Balancer.handle
+    monkeypatch.setattr(Balancer, "handle", lambda b, e, now: fed.append(e) or handle(b, e, now))
+    host = gateway.issuer_host("s-1")
+    assert host is not None
+    leg = gateway.carry(FakeHolder(), host, "read", key=5)
+    gateway.ended(leg, Outcome.OK)
+    carried, ended = fed
+    assert isinstance(carried, Carried)
+    assert isinstance(ended, Ended)
+    assert (carried.backend, carried.request.key, ended.attempt, ended.final) == (host.number, 5, 0, True)
+    assert gateway.standing() == []
+
+
+def test_client_that_left_is_told_before_the_end_of_its_leg(
+    timers: FakeTimers, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gateway, holder, fed = Gateway(config(), timers), FakeHolder(), list[Event]()
+    authorisation = gateway.authorise(holder, "read", 1.0, gateway.now())
+    handle = Balancer.handle
+    monkeypatch.setattr(Balancer, "handle", lambda b, e, now: fed.append(e) or handle(b, e, now))
+    gateway.left(authorisation)
+    gateway.ended(holder.legs[0], Outcome.CANCELLED)
+    assert [type(event) for event in fed] == [Abandoned, Ended]
+    assert isinstance(fed[1], Ended)
+    assert fed[1].final
+
+
+class Meter:
+    """A meter with what it told, on the tests' clock."""
+
+    def __init__(self, timers: FakeTimers) -> None:
+        self.told: list[tuple[str, float]] = []
+        self.silent: list[str] = []
+        self.meter = DelayMeter(
+            timers, 0.05, lambda id_, delay: self.told.append((id_, round(delay, 3))), self.silent.append,
+            clock=lambda: timers.now,
+        )
+
+
+def test_quick_answers_tell_nothing(timers: FakeTimers) -> None:
+    it = Meter(timers)
+    it.meter.add("a")
+    for _ in range(20):
+        it.meter.sent("a", 1)
+        timers.run(0.04)
+        it.meter.answered("a", 1)
+        timers.run(2.0)
+    assert (it.told, it.silent) == ([], [])
+
+
+def test_slow_answers_are_told_once_a_second_and_once_when_over(timers: FakeTimers) -> None:
+    it = Meter(timers)
+    for id_ in "ab":
+        it.meter.add(id_)
+    for _ in range(3):
+        it.meter.sent("a", 1)
+        timers.run(0.2)
+        it.meter.answered("a", 1)
+        timers.run(0.6)
+    assert it.told == [("a", 0.05), ("a", 0.2), ("a", 0.2)]
+    timers.run(5.0)
+    assert it.told[-1][1] <= 0.05
+    count = len(it.told)
+    timers.run(5.0)
+    assert len(it.told) == count
+
+
+def test_an_unanswered_line_counts_and_a_silent_connection_is_given_up(timers: FakeTimers) -> None:
+    """Guards against a machine that vanished: its connections stay open and say nothing."""
+    it = Meter(timers)
+    it.meter.add("a")
+    it.meter.sent("a", 1)
+    timers.run(SILENT_AFTER - 0.1)
+    assert [delay for _, delay in it.told] == [0.05, 1.05, 2.05, 3.05, 4.05, 5.05]
+    assert it.silent == []
+    timers.run(0.2)
+    assert it.silent == ["a"]
+    it.meter.drop("a")
+    count = len(it.told)
+    timers.run(9.0)
+    assert len(it.told) == count
+
+
+def test_routing_table_numbers_stay_and_a_full_list_drops_the_absent() -> None:
+    table = RoutingTable()
+    first = table.apply(Routing(4, True, (listed("s-1"), listed("s-2", boot=7.5))), 1.0)
+    assert first.kind is ListKind.FULL
+    assert [(entry.backend, entry.started_at) for entry in first.entries] == [(1, 0.0), (2, 7.5)]
+    delta = table.apply(Routing(5, False, (listed("s-1", Stage.DRAINING),)), 2.0)
+    (entry,) = delta.entries
+    assert (delta.kind, entry.backend, entry.stage) == (ListKind.DELTA, 1, Stage.DRAINING)
+    table.apply(Routing(6, True, (listed("s-1", Stage.DRAINING), listed("s-3"))), 3.0)
+    assert [host.leaving_since for n in (1, 2, 3) if (host := table.by_number(n))] == [2.0, 3.0, None]
+    assert table.revision == 6
+
+
+def test_a_state_that_is_not_known_is_passed_over_and_a_bad_entry_is_named() -> None:
+    target = {"uid": "s-1", "endpoint": "127.0.0.1:5", "state": "resting"}
+    tree = {"rev": 3, "all": True, "targets": [target, target | {"state": "up", "boot_ms": 1500}]}
+    (one,) = parse_routing(Tree(tree)).listed
+    assert (one.boot, one.port) == (1.5, 5)
+    for bad in ({"endpoint": "nowhere"}, {"state": 5}, {"uid": None}):
+        with pytest.raises(MalformedError):
+            parse_routing(Tree({"rev": 3, "targets": [target | {"state": "up"} | bad]}))
+
+
+def test_legs_end_with_the_attempts_that_the_settings_allow(timers: FakeTimers) -> None:
+    gateway, holder = Gateway(config(), timers), FakeHolder()
+    gateway.authorise(holder, "read", 1.9, gateway.now())
+    for step in itertools.count():
+        if holder.answers or step > 50:
+            break
+        if holder.legs and not holder.legs[-1].ended:
+            gateway.ended(holder.legs[-1], Outcome.CONNECT_FAILED)
+        timers.run(0.02)
+    assert len(holder.legs) == SETTINGS.max_attempts
+    assert holder.answers[0].startswith("BUSY 0.")
