Tests of the drivers on loopback; resets go on as resets, a failed task ends its client

Seen, each by a test in tests/test_net.py: a client's reset reached its issuer host as an orderly end (client.py, _client_broke closed the leg with FIN); an exception in a connection's task was logged but left the client without an answer and its socket open (client.py, tasks spawned bare); a second close of the listener accepted for ever on a dead descriptor (listener.py, close), which hung the run of the tests; a connection that broke on accept could have ended the accepting task. Ruled out: the scheduler, whose kill and timers the tests hold. Mended: _client_gone passes the reset on, _guarded answers ERR and ends that connection alone, close looks at the descriptor, accept is guarded.

--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -10,6 +10,7 @@
 import logging
 import math
 import time
+from collections.abc import Callable
 from typing import Any
 
 from ironmill.config import Config
@@ -91,7 +92,19 @@
 
     def start(self) -> None:
         """Begin to read."""
-        self._reader = self._scheduler.spawn(self._read)
+        self._reader = self._scheduler.spawn(self._guarded, self._read)
+
+    def _guarded(self, function: Callable[..., object], *args: object) -> None:
+        """Run a task of this connection. Guards the others: its exception is logged and ends it alone."""
+        try:
+            function(*args)
+        except Exception:
+            log.exception("a connection failed")
+            standing = self._side.state is ClientState.STANDING
+            self._side.close()
+            if self._authorisation is not None:
+                self._gateway.left(self._authorisation)
+            self._finish(b"" if standing else b"ERR\r\n")
 
     # From the client
 
@@ -110,7 +123,7 @@
             self._side.close()
             self._finish(b"" if self._asked else b"ERR\r\n")
         except OSError:
-            self._client_broke()
+            self._client_gone(reset=True)
         else:
             if self._side.state is ClientState.OVER and self._authorisation is None and self._first is None:
                 self._finish(b"")  # it left without a word, or a malformed one was answered
@@ -132,15 +145,15 @@
                 if self._driver is not None and self._driver.stream is not None:
                     self._driver.stream.finish()
                 self._scheduler.sleep(HALF_CLOSED_WAIT)  # the leg's end ends this task
-                self._client_broke()
+                self._client_gone(reset=False)
             case Left():
-                self._client_broke()
+                self._client_gone(reset=False)
 
     def _open(self, first: FirstLine) -> None:
         came_at = self._gateway.now()
         self._first = first
         if "at" in first.fields:
-            self._leg_task = self._scheduler.spawn(self._carry, first)
+            self._leg_task = self._scheduler.spawn(self._guarded, self._carry, first)
             return
         wait = int(first.fields["d"]) / 1000.0 if "d" in first.fields else None
         self._authorisation = self._gateway.authorise(
@@ -158,23 +171,20 @@
             return  # the leg's task sees the end as well, and deals with it
         self._gateway.lines_sent(leg, onward.lines)
 
-    def _client_broke(self) -> None:
-        """The client is gone. Called in the reading task or the leg's."""
+    def _client_gone(self, reset: bool) -> None:
+        """The client is gone; its issuer host is told in the same way. Called in either task."""
         self._side.close()
         if self._authorisation is not None:
             self._gateway.left(self._authorisation)
-        self._drop_leg(Outcome.CANCELLED)
-        if self._client_ended:
-            self._stream.close()
-        else:
-            self._stream.abort()
+        self._drop_leg(Outcome.CANCELLED, reset)
+        self._stream.close()
 
     # From the gateway
 
     def start_leg(self, leg: Leg) -> None:
         """Run the leg in a task of its own."""
         self._leg = leg
-        self._leg_task = self._scheduler.spawn(self._run_leg, leg)
+        self._leg_task = self._scheduler.spawn(self._guarded, self._run_leg, leg)
 
     def decline(self, retry_after: float) -> None:
         """``BUSY MS``, at once."""
@@ -306,19 +316,19 @@
         try:
             self._stream.send(data)
         except OSError:
-            self._client_broke()
+            self._client_gone(reset=True)
             return False
         finally:
             self._writing = False
         return True
 
-    def _drop_leg(self, outcome: Outcome) -> None:
+    def _drop_leg(self, outcome: Outcome, reset: bool = False) -> None:
         """End both tasks but the running one, then the leg's connection; tell the gateway."""
         leg, self._leg = self._leg, None
         for task in (self._reader, self._leg_task):
             if task is not None and not task.is_current():
                 self._scheduler.kill(task)
         if self._driver is not None:
-            self._driver.close()
+            self._driver.close(reset)
         if leg is not None:
             self._gateway.ended(leg, outcome)
--- a/ironmill/net/issuer_host.py
+++ b/ironmill/net/issuer_host.py
@@ -70,9 +70,13 @@
             self.close()
         self._owner.leg_over(self, LegEnd(outcome, self.side.report, line, self.side.stood, broke))
 
-    def close(self) -> None:
+    def close(self, reset: bool = False) -> None:
         """End the leg's connection. Its task must be this one or have ended."""
-        if self.stream is not None and not self.stream.closed:
+        if self.stream is None or self.stream.closed:
+            return
+        if reset:
+            self.stream.abort()
+        else:
             self.stream.finish()
             self.stream.close()
 
--- a/ironmill/net/listener.py
+++ b/ironmill/net/listener.py
@@ -45,6 +45,8 @@
 
     def close(self) -> None:
         """Take no more. What waits to be accepted is taken first, or it would be reset."""
+        if self._sock.fileno() < 0:
+            return  # guards against an accept that fails for ever: the second close found no socket
         self._scheduler.kill(self._task)
         while self._accept_one():
             pass
@@ -70,5 +72,9 @@
                     self._scheduler.sleep(PAUSE)
                 return False
             return True  # that one connection broke before it was accepted
-        self._take(Stream(self._scheduler, sock))
+        try:
+            self._take(Stream(self._scheduler, sock))
+        except OSError as error:  # guards the accepting task: the connection broke at once
+            log.info("a connection broke when it was accepted: %s", error)
+            sock.close()
         return True
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,471 @@
+"""The drivers on loopback sockets, against issuer hosts and clients that the tests play."""
+
+from __future__ import annotations
+
+import errno
+import os
+import signal
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from ironmill.delay import DelayMeter
+from ironmill.gateway import Gateway
+from ironmill.net import client as client_module
+from ironmill.net import discovery as discovery_module
+from ironmill.net import shutdown as shutdown_module
+from ironmill.net.client import ClientDriver
+from ironmill.net.discovery import Discovery
+from ironmill.net.listener import Listener
+from ironmill.net.shutdown import Shutdown
+from ironmill.net.sockets import CHUNK, Stream, TimedOutError
+from ironmill.routing_table import Listed, Routing
+from ironmill.scheduler import READ, Scheduler
+from stonegap.interface import Stage
+from tests.test_gateway import config
+
+OPEN = b"OPEN 1a 2b c=read,d=1500,g=3c\r\n"
+
+
+class Town:
+    """One proxy with issuer hosts that the test plays. Waits end the test after some seconds."""
+
+    def __init__(self, hosts: int = 1, **changes: Any) -> None:
+        self.scheduler = Scheduler()
+        self.arrived: list[Stream] = []
+        self.listeners = [
+            Listener(self.scheduler, ("127.0.0.1", 0), self.arrived.append) for _ in range(hosts)
+        ]
+        listed = tuple(
+            Listed(f"s-{at}", *listener.address, Stage.READY, "a", 0, 1.0, 0.0)
+            for at, listener in enumerate(self.listeners)
+        )
+        self.config = config(Routing(1, True, listed), **changes)
+        self.gateway = Gateway(self.config, self.scheduler)
+        self.listener = Listener(self.scheduler, ("127.0.0.1", 0), self._take)
+
+    def _take(self, stream: Stream) -> None:
+        ClientDriver(self.scheduler, self.gateway, self.config, stream).start()
+
+    def run(self, story: Callable[[Town], None]) -> None:
+        failed: list[BaseException] = []
+
+        def told() -> None:
+            try:
+                story(self)
+            except Exception as error:
+                failed.append(error)
+            self.scheduler.stop()
+
+        def hung() -> None:
+            failed.append(AssertionError("the story hangs"))
+            self.scheduler.stop()
+
+        self.scheduler.spawn(told)
+        self.scheduler.call_later(60.0, hung)
+        self.scheduler.run()
+        for listener in [*self.listeners, self.listener]:
+            listener.close()
+        if failed:
+            raise failed[0]
+
+    def client(self, *first: bytes) -> Stream:
+        stream = Stream.connect(self.scheduler, self.listener.address, 1.0)
+        for piece in first:
+            stream.send(piece)
+            self.scheduler.sleep(0.001)
+        return stream
+
+    def leg(self) -> Stream:
+        """The next connection that comes to an issuer host."""
+        self.until(lambda: bool(self.arrived))
+        return self.arrived.pop(0)
+
+    def until(self, true: Callable[[], bool]) -> None:
+        for _ in range(3000):
+            if true():
+                return
+            self.scheduler.sleep(0.002)
+        raise AssertionError("it did not come to pass")
+
+    def pair(self) -> tuple[Stream, Stream]:
+        """A client whose connection stands, and its issuer host's end."""
+        client = self.client(OPEN)
+        leg = self.leg()
+        read_line(leg)
+        leg.send(b"UP r1\r\n")
+        assert read_line(client) == b"UP r1\r\n"
+        return client, leg
+
+
+def read_line(stream: Stream) -> bytes:
+    data = b""
+    while not data.endswith(b"\r\n"):
+        piece = stream.receive(5.0)
+        if not piece:
+            break
+        data += piece
+    return data
+
+
+def test_a_connection_is_served_and_bytes_go_on_unchanged() -> None:
+    def story(town: Town) -> None:
+        client = town.client(b"PING\r\n")
+        assert read_line(client) == b"PONG\r\n"
+        client.send(OPEN[:9])
+        client.send(OPEN[9:] + b"early\r\n")
+        leg = town.leg()
+        first = read_line(leg)
+        head, _, tail = first.partition(b"d=")
+        assert (head, tail.partition(b",")[2]) == (b"OPEN 1a 2b c=read,", b"g=3c\r\n")
+        assert 0 < int(tail.partition(b",")[0]) < 1500
+        leg.send(b"UP r")
+        leg.send(b"1\r\nmore\r\nhal")
+        assert read_line(leg) == b"early\r\n"
+        leg.send(b"f\r\nBYE\r\n")
+        leg.close_gently(1.0)
+        data = b""
+        while piece := client.receive(5.0):
+            data += piece
+        assert data == b"UP r1\r\nmore\r\nhalf\r\nBYE\r\n"
+        client.close()
+        town.until(lambda: town.gateway.counts.get("standing OK") == 1)
+
+    Town().run(story)
+
+
+@pytest.mark.parametrize("data", [b"HELLO\r\n", b"x" * 5000, b"OPEN 1 2 d=4\r\n"])
+def test_a_bad_first_line_gets_one_answer_and_an_end(data: bytes) -> None:
+    def story(town: Town) -> None:
+        client = town.client(data)
+        assert read_line(client) == b"ERR\r\n"
+        assert client.receive(5.0) == b""
+        client.close()
+
+    Town().run(story)
+
+
+def test_a_refused_connection_is_tried_elsewhere_and_declined_in_the_end() -> None:
+    def story(town: Town) -> None:
+        for listener in town.listeners:
+            listener.close()
+        client = town.client(OPEN)
+        answer = read_line(client)
+        assert answer.startswith(b"BUSY ")
+        assert int(answer.split()[1]) > 0
+        assert town.gateway.counts["leg CONNECT_FAILED"] >= 2
+        town.listeners = []
+
+    Town(2).run(story)
+
+
+def test_an_answer_other_than_up_brings_the_next_leg_when_the_first_is_closed() -> None:
+    def story(town: Town) -> None:
+        client = town.client(OPEN)
+        for answer in (b"BUSY\r\n", b"ERR\r\n"):
+            leg = town.leg()
+            read_line(leg)
+            leg.send(answer)
+            assert leg.receive(5.0) == b""  # closed, and only then does the next one come
+            leg.close()
+        leg = town.leg()
+        read_line(leg)
+        leg.send(b"UP r2\r\n")
+        assert read_line(client) == b"UP r2\r\n"
+
+    Town(3).run(story)
+
+
+def test_a_client_that_leaves_before_up_takes_its_leg_along() -> None:
+    def story(town: Town) -> None:
+        client = town.client(OPEN)
+        leg = town.leg()
+        read_line(leg)
+        client.close()
+        assert leg.receive(5.0) == b""
+        assert town.gateway.counts == {"authorisations": 1, "legs": 1, "left": 1, "leg CANCELLED": 1}
+
+    Town().run(story)
+
+
+def test_each_side_ends_the_other_in_the_same_way() -> None:
+    def story(town: Town) -> None:
+        client, leg = town.pair()
+        leg.abort()
+        with pytest.raises(ConnectionResetError):
+            client.receive(5.0)
+        client, leg = town.pair()
+        client.abort()
+        with pytest.raises(ConnectionResetError):
+            while leg.receive(5.0):
+                pass
+        client, leg = town.pair()
+        client.send(b"last\r\n")
+        client.finish()
+        assert read_line(leg) == b"last\r\n"
+        assert leg.receive(5.0) == b""
+        leg.send(b"BYE\r\n")  # a half-closed connection still takes what is on its way
+        assert read_line(client) == b"BYE\r\n"
+        leg.close()
+        assert client.receive(5.0) == b""
+        town.until(lambda: town.gateway.counts.get("standing OK") == 1)
+        assert town.gateway.counts["standing RESET"] == 1
+        assert town.gateway.counts["standing CANCELLED"] == 1
+
+    Town().run(story)
+
+
+def test_move_waits_for_the_line_under_way() -> None:
+    def story(town: Town) -> None:
+        client, leg = town.pair()
+        leg.send(b"ha")
+        assert client.receive(5.0) == b"ha"
+        (authorisation,) = town.gateway.standing()
+        authorisation.holder.move()
+        town.scheduler.sleep(0.02)
+        leg.send(b"lf\r\n")
+        data = b""
+        while piece := client.receive(5.0):
+            data += piece
+        assert data == b"lf\r\nMOVE\r\n"
+        client.close()
+        assert leg.receive(5.0) == b""
+
+    Town().run(story)
+
+
+def test_a_line_that_never_ends_does_not_hold_a_move_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client_module, "MOVE_WAIT", 0.05)
+
+    def story(town: Town) -> None:
+        client, leg = town.pair()
+        leg.send(b"ha")
+        assert client.receive(5.0) == b"ha"
+        (authorisation,) = town.gateway.standing()
+        authorisation.holder.move()
+        assert client.receive(5.0) == b""
+
+    Town().run(story)
+
+
+def test_a_silent_issuer_host_is_given_up_and_its_client_moved(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against machines that vanish: no end ever comes from them."""
+    monkeypatch.setattr("ironmill.delay.SILENT_AFTER", 0.2)
+
+    def story(town: Town) -> None:
+        client, _ = town.pair()
+        client.send(b"hey\r\n")
+        assert read_line(client) == b"MOVE\r\n"
+        assert client.receive(5.0) == b""
+        town.until(lambda: town.gateway.counts.get("standing RESET") == 1)
+        assert town.gateway.counts["silent"] == 1
+
+    Town().run(story)
+
+
+def test_a_slow_reader_holds_the_sender_back_and_loses_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    seen: list[int] = []
+    monkeypatch.setattr(DelayMeter, "answered", lambda self, id_, count: seen.append(count))
+
+    def story(town: Town) -> None:
+        client, leg = town.pair()
+        total = 40_000_000
+        sent = [0]
+
+        def pour() -> None:
+            while sent[0] < total:
+                leg.send(b"z" * CHUNK)
+                sent[0] += CHUNK
+            leg.close_gently(5.0)
+
+        town.scheduler.spawn(pour)
+        town.scheduler.sleep(0.3)
+        assert sent[0] < total  # the buffers on the way are full; the proxy reads no further
+        got = 0
+        while piece := client.receive(5.0):
+            got += len(piece)
+        assert got == sent[0] >= total
+
+    Town().run(story)
+
+
+def test_a_leg_ordered_in_time_but_late_to_connect_sends_nothing() -> None:
+    """Guards the drain rule: what counts is the first byte."""
+    def story(town: Town) -> None:
+        gone = Listed("s-0", *town.listeners[0].address, Stage.DRAINING, "a", 0, 1.0, 0.0)
+        town.gateway.may_start = lambda leg: False  # type: ignore[method-assign]
+        client = town.client(OPEN)
+        leg = town.leg()
+        assert leg.receive(5.0) == b""
+        town.gateway.routing(Routing(2, False, (gone,)))
+        assert read_line(client).startswith(b"BUSY")
+
+    Town().run(story)
+
+
+def test_a_connection_open_before_the_run_goes_back_to_its_issuer_host() -> None:
+    def story(town: Town) -> None:
+        at = b"OPEN 1a 2b c=read,d=900,at=s-1\r\n"
+        client = town.client(at)
+        for answer in (b"BUSY\r\n", b"UP r9\r\n"):  # it is tried again until it is up
+            leg = town.leg()
+            assert read_line(leg) == at
+            leg.send(answer)
+        assert read_line(client) == b"UP r9\r\n"
+        (authorisation,) = town.gateway.standing()
+        assert authorisation.leg is not None
+        assert authorisation.leg.host.uid == "s-1"
+        client.send(b"hey\r\n")
+        assert read_line(leg) == b"hey\r\n"
+
+    Town(2).run(story)
+
+
+def test_an_exception_ends_its_connection_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client_module, "request_fields", lambda first: 1 / int(first.key, 16) and {})
+
+    def story(town: Town) -> None:
+        broken = town.client(OPEN.replace(b"2b", b"00"))
+        assert read_line(broken) == b"ERR\r\n"
+        assert broken.receive(5.0) == b""
+        assert town.pair()
+
+    Town().run(story)
+
+
+def test_discovery_takes_the_whole_list_then_changes_and_comes_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery_module, "PAUSE", 0.01)
+    empty = b'{"rev":%d,"all":%s,"targets":[]}'
+    told: list[Routing] = []
+
+    def story(town: Town) -> None:
+        revision = [7]
+
+        def take(routing: Routing) -> None:
+            told.append(routing)
+            revision[0] = routing.revision
+
+        Discovery(town.scheduler, town.listeners[0].address, take, lambda: revision[0]).start()
+        agent = town.leg()
+        asked = []
+        for body in (empty % (41, b"true"), empty % (43, b"false"), b"{"):
+            asked.append(read_line(agent).split(b" ")[1])
+            agent.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        agent = town.leg()  # after nonsense it calls anew, from where it was
+        asked.append(read_line(agent).split(b" ")[1])
+        agent.close()
+        asked.append(read_line(town.leg()).split(b" ")[1])
+        watch = b"/api/targets?after=%d&wait_ms=20000"
+        assert asked == [b"/api/targets", watch % 41, watch % 43, watch % 43, watch % 43]
+
+    town = Town()
+    town.run(story)
+    assert [(routing.revision, routing.full) for routing in told] == [(41, True), (43, False)]
+    assert town.gateway.revision == 1
+
+
+@pytest.mark.parametrize("packets_pass", [True, False])
+def test_a_planned_end_answers_what_is_owed(monkeypatch: pytest.MonkeyPatch, packets_pass: bool) -> None:
+    monkeypatch.setattr(shutdown_module, "ACCEPT_FOR", 0.05)
+    before = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGINT)}
+    out: dict[str, bytes] = {}
+
+    def story(town: Town) -> None:
+        standing, _ = town.pair()
+        Shutdown(town.scheduler, town.gateway, town.listener, town.config).start()
+        town.scheduler.sleep(0.01)
+        os.kill(os.getpid(), signal.SIGTERM)
+        town.scheduler.sleep(0.01)
+        late = town.client(OPEN)  # still accepted
+        leg = town.leg()
+        read_line(leg)
+        town.scheduler.sleep(0.2)
+        leg.send(b"UP r5\r\n")
+        out["late"] = read_line(late)
+        out["standing"] = standing.receive(None if not packets_pass else 5.0)
+
+    try:
+        town = Town(packets_pass=packets_pass)
+        town.run(story)
+    finally:
+        signal.set_wakeup_fd(-1)
+        for number, handler in before.items():
+            signal.signal(number, handler)
+    assert out["late"].startswith(b"UP r5\r\n")
+    assert out.get("standing") == (None if packets_pass else b"MOVE\r\n")
+
+
+def test_descriptors_that_run_out_do_not_end_the_listener(monkeypatch: pytest.MonkeyPatch) -> None:
+    class Full:
+        """A listening socket of a process that has no descriptors left, for two calls."""
+
+        def __init__(self, sock: socket.socket) -> None:
+            self._sock, self.left = sock, 2
+
+        def accept(self) -> Any:
+            if self.left:
+                self.left -= 1
+                raise OSError(errno.EMFILE, "too many")
+            return self._sock.accept()
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(self._sock, name)
+
+    def story(town: Town) -> None:
+        full = Full(town.listener._sock)
+        town.listener._sock = full  # type: ignore[assignment]
+        assert town.pair()
+        assert full.left == 0
+
+    Town().run(story)
+
+
+def test_scheduler_waits_wakes_and_outlives_failures() -> None:
+    scheduler = Scheduler()
+    left, right = socket.socketpair()
+    seen: list[object] = []
+
+    def story() -> None:
+        seen.append(scheduler.wait(left.fileno(), READ, 0.01))
+        right.send(b"x")
+        seen.append(scheduler.wait(left.fileno(), READ, 1.0))
+        left.recv(1)
+        waiter = scheduler.spawn(scheduler.wait, left.fileno(), READ)
+        scheduler.sleep(0)
+        scheduler.kill(waiter)
+        seen.append(scheduler.wait(left.fileno(), READ, 0.01))  # its watch is gone at once
+        scheduler.spawn(lambda: 1 / 0)
+        timer = scheduler.call_later(0.01, seen.append, "withdrawn")
+        scheduler.cancel(timer)
+        scheduler.cancel(timer)
+        scheduler.call_later(0, lambda: 1 / 0)
+        scheduler.sleep(0.02)
+        seen.append("end")
+        scheduler.stop()
+
+    scheduler.spawn(story)
+    scheduler.run()
+    left.close()
+    right.close()
+    assert seen == [False, True, False, "end"]
+    with pytest.raises(RuntimeError):
+        scheduler.sleep(1.0)
+
+
+def test_a_connection_that_never_comes_up_times_out() -> None:
+    def story(town: Town) -> None:
+        full = socket.socket()
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        address = full.getsockname()
+        held = []
+        with pytest.raises(TimedOutError):
+            for _ in range(9):
+                held.append(Stream.connect(town.scheduler, address, 0.05))
+        for stream in held:
+            stream.close()
+        full.close()
+
+    Town().run(story)
