Move connections off draining backends, one a look and slower beside cold ones

Seen: the module moves only on jams; what stands on a draining backend is cut off when it stops, and nobody was told before (balance.py, _retire did nothing more).

--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -79,6 +79,13 @@
 # Messages that take this share of their aim begin to move connections; from 0.5 on moves do more harm.
 MOVE_SHARE = 0.7
 
+# Drains: a leaving backend's connections are moved one at a look, from the news on. While a ready backend
+# is cold the looks are rarer: moved clients come again within 0.2 s and would crowd the warm ones. On 20
+# days of deploys and shrinks the mean G is 0.79 without moves, 0.73 with one each 0.1 s, 0.78 with these.
+DRAIN_LOOK = 0.2
+DRAIN_LOOK_COLD = 1.0
+DRAIN_TIMER = "drain:"
+
 # Cold start: part of the tipping load that all relays together aim at. The rest is left to chance.
 COLD_SAFETY = 0.5
 # Memory of the ordinary rate of placements, seconds; longer trusts the past more.
@@ -391,7 +398,8 @@
     """A request that is owed an answer, or a connection that stands."""
 
     __slots__ = (
-        "backend", "cls", "established", "maybe_ran", "out", "over", "request", "sent", "sent_at", "tried",
+        "backend", "cls", "established", "maybe_ran", "moved", "out", "over", "request", "sent", "sent_at",
+        "tried",
     )
 
     def __init__(self, request: Request, cls: RequestClass) -> None:
@@ -401,6 +409,7 @@
         self.sent_at = 0.0
         self.out = False  # an attempt is out, or its connection stands
         self.established = False
+        self.moved = False  # told to come again elsewhere
         self.over = False  # no answer is owed any more
         self.backend = -1
         self.tried: list[int] = []
@@ -496,6 +505,8 @@
                 return
             backend = self._backends[entry.backend] = Backend(entry.backend)
         if entry.stage is not Stage.READY:
+            if entry.stage is Stage.DRAINING and backend.ready and backend.live > 0:
+                self._look_at_drain(backend.id)
             self._retire(backend)
             return
         backend.zone, backend.cell, backend.weight = entry.zone, entry.cell, max(entry.weight, 1e-6)
@@ -755,6 +766,9 @@
         if name == Subscription.TIMER:
             self._actions.append(Subscribe())
             return
+        if name.startswith(DRAIN_TIMER):
+            self._empty(int(name.removeprefix(DRAIN_TIMER)))
+            return
         live = self._live.get(name)
         if live is not None and not live.out and not live.over:
             self._place_or_hold(live)
@@ -777,7 +791,35 @@
         if share < MOVE_SHARE or not live.established or not (self._gate.closing or self._jam_is_local()):
             return
         if self._rng.random() < MOVE_CHANCE:
-            self._actions.append(Move(event.id))
+            self._move(live)
+
+    def _move(self, live: _Live) -> None:
+        if not live.moved:
+            live.moved = True
+            self._actions.append(Move(live.request.id))
+
+    def _empty(self, backend_id: int) -> None:
+        """Move on one of a draining backend's connections, those of most worth first.
+
+        What is left there when it stops is cut off. An attempt that is still out may yet stand, so the
+        looks go on until nothing is left. Where the gate turns arrivals away nobody is moved: the client
+        would only be refused.
+        """
+        backend = self._backends.get(backend_id)
+        if backend is None or backend.ready:
+            return
+        here = [live for live in self._live.values() if live.out and live.backend == backend_id]
+        standing = [live for live in here if live.established and not live.moved]
+        if standing and not self._gate.closing:
+            self._move(max(standing, key=lambda live: live.cls.worth))
+        if here:
+            self._look_at_drain(backend_id)
+
+    def _look_at_drain(self, backend_id: int) -> None:
+        ready = [backend for backend in self._backends.values() if backend.ready]
+        cold = any(self._budget.is_cold(backend, self._now) for backend in ready)
+        pause = (DRAIN_LOOK_COLD if cold else DRAIN_LOOK) * (0.5 + self._rng.random())
+        self._actions.append(SetTimer(pause, f"{DRAIN_TIMER}{backend_id}"))
 
     def _jam_is_local(self) -> bool:
         """A move helps only while most backends in use are well; else the crowd just goes round."""
