Read a slow set-up as slow messages: a symptom, and a jam for the gate

Set-ups do slow down: up to 285 ms against 13 ms. Ruled out: the wire adapter and the gateway, which pass the set-up's delay on; balance.py, _establish set it against the set-up's aim, of which a third is 165 ms, and told the gate nothing.

--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -723,9 +723,15 @@
             return
         live.established, live.over = True, True
         backend = self._backends.get(live.backend)
-        if backend is not None and event.delay > live.cls.aim * SLOW_SHARE:
-            Health.set_slowness(backend, event.delay / live.cls.aim, self._now)
+        if backend is not None and event.delay > live.cls.message_aim * SLOW_SHARE:
+            # A set-up waits behind the same work as a message, and shows a jam where no note tells one:
+            # on real sockets standing connections bring their lines back at once all the same.
+            share = event.delay / live.cls.message_aim
+            Health.set_slowness(backend, share, self._now)
             self._read(backend)
+            if share >= JAM_SHARE:
+                backend.jammed_at = self._now
+                self._jammed[backend.id] = None
 
     def _end(self, event: Ended) -> None:
         live = self._live.get(event.id)
--- a/tests/test_cold_and_health.py
+++ b/tests/test_cold_and_health.py
@@ -4,7 +4,7 @@
 
 from stonegap.balance import COLD_SAFETY, STANDING_HALF_LIFE
 from stonegap.interface import Entry, ListChanged, ListKind, Move, Note, NoteKind, Outcome, Prices, Stage
-from tests.helpers import Relay, entries, sends
+from tests.helpers import SAFE, Relay, entries, sends
 
 
 def ordinary(relay: Relay, rate: float, span: float) -> None:
@@ -132,3 +132,17 @@
         used[price] = hits
     assert used[0.0] < 10
     assert used[0.1] > 20
+
+
+def test_a_slow_setup_is_a_symptom_and_a_jam_where_no_line_tells_the_delay() -> None:
+    """Guards against jams unseen on real sockets, where standing connections bring lines back at once."""
+    relay = Relay(2)
+    first = sends(relay.request())[0]
+    relay.stand(first, delay=0.2 * SAFE.message_aim)
+    assert relay.balancer._jammed == {}
+    second = sends(relay.request())[0]
+    relay.stand(second, delay=0.6 * SAFE.message_aim)
+    assert list(relay.balancer._jammed) == [second.backend]
+    third = sends(relay.request())[0]
+    relay.stand(third, delay=5.0 * SAFE.message_aim)
+    assert relay.balancer.token_counts()[third.backend] > relay.balancer.live_counts()[third.backend]
