--- a/ironmill/config.py
+++ b/ironmill/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import orjson
@@ -58,7 +58,9 @@
     except ValueError:
         raise MalformedError(f"configuration: seed is not a hexadecimal number: {seed_text!r}") from None
     settings_tree = root.tree("settings")
-    settings = settings_from(settings_tree)
+    # On these sockets a standing connection brings its lines back at once however long the messages of
+    # its issuer host take, so the decisions must not count on being told of a jam.
+    settings = replace(settings_from(settings_tree), tells_delay=False)
     return Config(
         name=env.get("PROXY_NAME") or root.text("name"),
         listen=address(env.get("PROXY_LISTEN") or root.text("listen"), "listen"),
--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -33,6 +33,8 @@
     Note,
     NoteKind,
     Outcome,
+    Probe,
+    Probed,
     Refuse,
     Request,
     Send,
@@ -67,6 +69,13 @@
         """Send the client of a standing connection away politely."""
 
 
+class Prober(Protocol):
+    """The driver of probes."""
+
+    def probe(self, host: IssuerHost) -> None:
+        """Ask the issuer host for its load report; ``Gateway.probed`` is then told. Must not park."""
+
+
 @dataclass(slots=True, eq=False)
 class Authorisation:
     """A client's request, from its arrival until its connection is over."""
@@ -110,6 +119,7 @@
         self._feeding = False
         self._serial = itertools.count()
         self.counts: dict[str, int] = {}
+        self.prober: Prober | None = None
         self.routing(config.known)
 
     def now(self) -> float:
@@ -220,6 +230,11 @@
         """The issuer host told the connection's load."""
         self._feed(Note(leg.authorisation.id, leg.number, leg.host.number, NoteKind.LOAD, value))
 
+    def probed(self, host: IssuerHost, outcome: Outcome, report: tuple[tuple[str, float], ...] = ()) -> None:
+        """A probe's answer came, or none did."""
+        self._count(f"probe {outcome.name}")
+        self._feed(Probed(host.number, outcome, report))
+
     # The decisions
 
     def _feed(self, event: Event) -> None:
@@ -257,6 +272,10 @@
                 if authorisation is not None and authorisation.standing:
                     self._count("moved")
                     authorisation.holder.move()
+            case Probe():
+                host = self._table.by_number(action.backend)
+                if host is not None and self.prober is not None:
+                    self.prober.probe(host)
             case Subscribe():
                 pass  # the watch on discovery always stands
 
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -11,6 +11,7 @@
 from ironmill.net.client import ClientDriver
 from ironmill.net.discovery import Discovery
 from ironmill.net.listener import Listener
+from ironmill.net.probe import ProbeDriver
 from ironmill.net.shutdown import Shutdown
 from ironmill.net.sockets import Stream
 from ironmill.scheduler import Scheduler
@@ -29,6 +30,7 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
         self.scheduler = Scheduler()
         self.gateway = Gateway(config, self.scheduler)
+        self.gateway.prober = ProbeDriver(self.scheduler, config.connect_timeout, self.gateway.probed)
         self.discovery = Discovery(
             self.scheduler, config.discovery, self.gateway.routing, lambda: self.gateway.revision
         )
--- a/ironmill/protocol/issuer_host.py
+++ b/ironmill/protocol/issuer_host.py
@@ -69,6 +69,26 @@
     return tuple(pairs)
 
 
+class ProbeSide:
+    """One question for the load report and its answer; the connection may then serve the next."""
+
+    QUESTION = b"STATS" + END
+
+    def __init__(self) -> None:
+        self._lines = Lines()
+
+    def receive(self, data: bytes) -> tuple[Outcome, Report] | None:
+        """The answer, once it is whole."""
+        try:
+            lines = self._lines.feed(data)
+        except LineTooLongError:
+            return Outcome.ERROR, ()
+        if not lines:
+            return None
+        word, _, rest = lines[0].partition(b" ")
+        return (Outcome.OK if word == b"PONG" else Outcome.ERROR), parse_report(rest)
+
+
 class IssuerHostSide:
     """What one leg has written and read."""
 
--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -32,6 +32,8 @@
     Note,
     NoteKind,
     Outcome,
+    Probe,
+    Probed,
     Refuse,
     Request,
     RequestClass,
@@ -115,6 +117,13 @@
 # average a good part misses it. 0.4 to 0.6 score alike, 1.0 clearly less.
 JAM_SHARE = 0.5
 
+# Probes, where no note tells a delay: one at each look goes to the backend in use that was asked longest
+# ago. From PROBE_OVER on (load asked over what it can do) its messages are taken to miss their aim. One
+# each 0.3 s or each 1 s, and bounds of 0.8 or 0.95, score less.
+PROBE_LOOK = 0.5
+PROBE_OVER = 0.9
+PROBE_TIMER = "probe"
+
 # Discovery by asking: spread of the first calls and the backoff after failures, seconds.
 ASK_SPREAD = 4.0
 ASK_BACKOFF = 1.0
@@ -214,8 +223,8 @@
     """What this relay knows of one backend."""
 
     __slots__ = (
-        "cell", "cold_tokens", "cold_window", "id", "idle_until", "jammed_at", "live", "ready", "standing",
-        "standing_at", "started_at", "weight", "zone",
+        "cell", "cold_tokens", "cold_window", "id", "idle_until", "jammed_at", "live", "probed_at", "ready",
+        "standing", "standing_at", "started_at", "weight", "zone",
     )
 
     def __init__(self, backend: int) -> None:
@@ -229,6 +238,7 @@
         self.idle_until: list[float] = []  # own idle links to it: when each will be closed
         self.standing = 0.0  # symptoms, in connections
         self.standing_at = 0.0
+        self.probed_at = -math.inf
         self.jammed_at = -math.inf  # when a message last took longer than its aim
         self.cold_window = -1
         self.cold_tokens = 0
@@ -441,6 +451,8 @@
         self._live: dict[str, _Live] = {}
         self._threshold: int | None = None  # set at the first placement
         self._actions: list[Action] = self._subscription.start()
+        if settings.probes and not settings.tells_delay:
+            self._actions.append(SetTimer(PROBE_LOOK * self._rng.random(), PROBE_TIMER))
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in one event and return what to do, in order."""
@@ -460,6 +472,8 @@
                 self._list_changed(event)
             case Carried():
                 self._carry(event)
+            case Probed():
+                self._probed(event)
             case Abandoned():
                 self._abandon(event)
         actions, self._actions = self._actions, []
@@ -772,6 +786,9 @@
         if name == Subscription.TIMER:
             self._actions.append(Subscribe())
             return
+        if name == PROBE_TIMER:
+            self._probe()
+            return
         if name.startswith(DRAIN_TIMER):
             self._empty(int(name.removeprefix(DRAIN_TIMER)))
             return
@@ -799,6 +816,39 @@
         if self._rng.random() < MOVE_CHANCE:
             self._move(live)
 
+    # Probes
+
+    def _probe(self) -> None:
+        """Ask the backend in use that was asked longest ago."""
+        self._actions.append(SetTimer(PROBE_LOOK * (0.75 + 0.5 * self._rng.random()), PROBE_TIMER))
+        used = [backend for backend in self._backends.values() if backend.ready and backend.live > 0]
+        if used:
+            backend = min(used, key=lambda backend: backend.probed_at)
+            backend.probed_at = self._now
+            self._actions.append(Probe(backend.id))
+
+    def _probed(self, event: Probed) -> None:
+        """A backend that is asked for more than it can do answers its messages late, all of them."""
+        backend = self._backends.get(event.backend)
+        if backend is None:
+            return
+        load = dict(event.report).get("x0")
+        if event.outcome is not Outcome.OK or load is None:
+            return
+        if load < PROBE_OVER:
+            return
+        Health.set_slowness(backend, load, self._now)
+        self._read(backend)
+        backend.jammed_at = self._now
+        self._jammed[backend.id] = None
+        if self._gate.closing or self._jam_is_local():
+            here = [
+                live for live in self._live.values()
+                if live.out and live.established and not live.moved and live.backend == backend.id
+            ]
+            if here:
+                self._move(self._rng.choice(here))
+
     def _move(self, live: _Live) -> None:
         if not live.moved:
             live.moved = True
--- a/stonegap/interface.py
+++ b/stonegap/interface.py
@@ -117,6 +117,8 @@
     retry_after_max: float  # longest wait a client respects; 0 where clients are given no advice
     keepalive: float  # an idle link to a backend stays open this long
     round_gap: float  # shortest time between two calls of the relay
+    probes: bool = False  # a backend may be asked for its load report
+    tells_delay: bool = True  # notes tell what messages take
 
 
 # --- events --------------------------------------------------------------------------------------
@@ -199,6 +201,15 @@
     value: float
 
 
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """What a ``Probe`` brought back."""
+
+    backend: int
+    outcome: Outcome
+    report: tuple[tuple[str, float], ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Abandoned:
     """The client left; nothing is owed any more."""
@@ -214,7 +225,7 @@
 
 
 Event: TypeAlias = (
-    ListChanged | Request | Carried | Established | Ended | Note | Abandoned | TimerFired
+    ListChanged | Request | Carried | Established | Ended | Note | Probed | Abandoned | TimerFired
 )
 
 
@@ -265,4 +276,11 @@
     """Ask discovery for all changes from now on."""
 
 
-Action: TypeAlias = Send | Refuse | Fail | Move | SetTimer | Subscribe
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask a backend for its load report; a ``Probed`` comes for each."""
+
+    backend: int
+
+
+Action: TypeAlias = Send | Refuse | Fail | Move | SetTimer | Subscribe | Probe
--- a/stonegap/settings.py
+++ b/stonegap/settings.py
@@ -131,4 +131,6 @@
         retry_after_max=ceilings.number("maxRetryAfterS", 0.0) if ceilings.flag("retryAfter", False) else 0.0,
         keepalive=ceilings.number("keepaliveS", 0.0),
         round_gap=root.number("roundS", 0.001),
+        probes=ceilings.flag("probes", False),
+        tells_delay=family.flag("tellsDelay", True),
     )
--- a/stonegap/wirehost.py
+++ b/stonegap/wirehost.py
@@ -27,6 +27,8 @@
     Note,
     NoteKind,
     Outcome,
+    Probe,
+    Probed,
     Refuse,
     Request,
     Send,
@@ -175,6 +177,9 @@
     "HEADERS": parse_established,
     "HINT_UPDATE": parse_note,
     "DONE": parse_ended,
+    "STATUS_BACK": lambda fields: Probed(
+        whole(fields, "backend"), OUTCOMES.get(need(fields, "outcome"), Outcome.OTHER), report(fields)
+    ),
     "LAPSED": lambda fields: Abandoned(need(fields, "msgId")),
     "TIMEOUT_FIRED": lambda fields: TimerFired(need(fields, "name")),
 }
@@ -217,6 +222,8 @@
             return f"REPORT_FAILURE\trelay={relay}\tmsgId={action.id}"
         case Move():
             return f"REDIRECT\trelay={relay}\tmsgId={action.id}"
+        case Probe():
+            return f"PROBE\trelay={relay}\tbackend={action.backend}"
         case Subscribe():
             return f"STREAM_CHANGES\trelay={relay}\ton=1"
 
