A client that does not read is no silent issuer host: its lines are not counted

Seen: the review of delay.py against net/client.py: while a client takes no bytes the leg's task does not read, so answers lie unseen, the meter tells a delay and after 5.5 s moves the client of a sound issuer host. Ruled out: the pumps, which lose nothing (test of the slow reader). Mended: ClientDriver._write tells the gateway when a write would wait and when it went through; the meter leaves that connection out between the two.

--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -226,6 +226,18 @@
         """So many lines answered."""
         self._meter(leg.host).answered(leg.authorisation.id, count)
 
+    def client_slow(self, leg: Leg) -> None:
+        """The client does not read, so what its issuer host answers cannot be seen.
+
+        Guards a sound issuer host against being taken for slow or silent.
+        """
+        self._meter(leg.host).drop(leg.authorisation.id)
+
+    def client_reads(self, leg: Leg) -> None:
+        """The client took what was held for it."""
+        if not leg.ended:
+            self._meter(leg.host).add(leg.authorisation.id)
+
     def load(self, leg: Leg, value: float) -> None:
         """The issuer host told the connection's load."""
         self._feed(Note(leg.authorisation.id, leg.number, leg.host.number, NoteKind.LOAD, value))
--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -314,7 +314,13 @@
     def _write(self, data: bytes) -> bool:
         self._writing = True
         try:
-            self._stream.send(data)
+            rest = data[self._stream.send_now(data) :]
+            if rest:
+                if self._leg is not None:
+                    self._gateway.client_slow(self._leg)
+                self._stream.send(rest)
+                if self._leg is not None:
+                    self._gateway.client_reads(self._leg)
         except OSError:
             self._client_gone(reset=True)
             return False
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -66,6 +66,13 @@
             if not self._scheduler.wait(self._sock.fileno(), WRITE, timeout):
                 raise TimedOutError
 
+    def send_now(self, data: bytes) -> int:
+        """Write what the socket takes at once, perhaps nothing."""
+        try:
+            return self._sock.send(data)
+        except BlockingIOError:
+            return 0
+
     def send(self, data: bytes, timeout: float | None = None) -> None:
         """Write all of it."""
         rest = memoryview(data)
