--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -7,7 +7,7 @@
 when a placement happens; ``docs/design.md`` lists these departures and their conditions.
 
 Parts, in this order: tunables, token table, backend health, cold-start budget, load shedding,
-discovery, and the balancer with the life of a request.
+discovery, and the balancer with the life of a request, moves and probes.
 """
 
 from __future__ import annotations
