--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from ironmill.net.client import request_fields
 from ironmill.protocol.client import (
     HELD_LIMIT,
     Asked,
@@ -199,6 +200,16 @@
     assert parse_first_line(b"OPEN i k c=x,at=s-1").with_wait(9) == b"OPEN i k c=x,at=s-1\r\n"
 
 
+def test_what_the_decisions_are_told_of_a_request() -> None:
+    told = request_fields(parse_first_line(b"OPEN i 2b c=x,d=5,g=3c,h=0.5,r=1,mid=1"))
+    assert told == {"key": 0x2B, "group": 0x3C, "load_hint": 0.5, "returning": True, "rerouted": True}
+    plain = request_fields(parse_first_line(b"OPEN i odd-key c=x,h=nan"))
+    assert isinstance(plain["key"], int)
+    assert (plain["group"], plain["load_hint"]) == (None, 0.0)
+    assert not plain["returning"] and not plain["rerouted"]
+    assert request_fields(parse_first_line(b"OPEN i 2b c=x,again=1"))["returning"]
+
+
 @pytest.mark.parametrize(
     "line",
     [b"", b"HELLO", b"OPEN", b"OPEN i k", b"OPEN i k d=5", b"OPEN i k c=x,d=-5", b"OPEN i k c=x,d=1e3",
