Take SIGHUP, admit clients by descriptors, turn bad clients away early

Nothing bounded what is accepted.

Now: net/signals takes SIGHUP beside SIGTERM, net/reload reads the file and moves the watch (the old one goes on until the new has brought the whole list), admission.py counts descriptors against limits.sockets and makes room by the oldest silent connection. The first line has 2 s from the accept. Unknown classes, ids that are open, doubled names and more than one line before the answer get ERR and nothing goes on.

--- /dev/null
+++ b/ironmill/admission.py
@@ -0,0 +1,136 @@
+"""Which clients' connections are let in, counted in descriptors against the stated limit.
+
+A client's connection is silent until its first line has come, then admitted (a second descriptor is
+set aside for its leg), and leaving once it has its last answer. Nothing here knows a socket: room is
+made by telling the oldest silent connection to go, for an honest client speaks at once.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from enum import Enum, auto
+
+# Descriptors that are not for clients: standard streams, listener, signals, discovery (two while it
+# changes its address), and one for each issuer host's probes.
+OWN = 48
+# What may be silent, and what may be leaving, as parts of the stated descriptors. Clients' requests hold
+# a third of them at the most, and as many legs.
+SILENT_PART = 4
+LEAVING_PART = 8
+LEAST = 16  # descriptors for clients, however few are stated
+COMPLAINT_PAUSE = 1.0  # between two lines on malformed clients
+
+log = logging.getLogger("ironmill.admission")
+
+
+class Stage(Enum):
+    """Where an admitted or waiting connection is counted."""
+
+    SILENT = auto()
+    ADMITTED = auto()
+    LEAVING = auto()
+    GONE = auto()
+
+
+class Ticket:
+    """One client's connection in the count."""
+
+    __slots__ = ("evict", "name", "stage")
+
+    def __init__(self, evict: Callable[[], object]) -> None:
+        self.evict = evict
+        self.name = ""  # the id that it has claimed
+        self.stage = Stage.SILENT
+
+
+class Admission:
+    """Counts clients' connections and their legs, and knows which ids are taken."""
+
+    def __init__(self, sockets: int) -> None:
+        self.most = max(LEAST, sockets - OWN)
+        self.silent_most = max(LEAST // 2, sockets // SILENT_PART)
+        self.leaving_most = max(LEAST // 4, sockets // LEAVING_PART)
+        self._silent: dict[Ticket, None] = {}  # the oldest first
+        self._admitted = 0
+        self._leaving = 0
+        self._names: set[str] = set()
+        self._complained_at = -COMPLAINT_PAUSE
+        self._unsaid = 0
+
+    def used(self) -> int:
+        """Descriptors held by clients, or set aside for their legs."""
+        return len(self._silent) + 2 * self._admitted + self._leaving
+
+    def enter(self, evict: Callable[[], object]) -> Ticket | None:
+        """A connection was accepted; None if there is no room and none can be made."""
+        # Guards descriptors and memory against clients that open connections and say nothing.
+        if len(self._silent) >= self.silent_most or self.used() >= self.most:
+            self._make_room()
+        if self.used() >= self.most:
+            return None
+        ticket = Ticket(evict)
+        self._silent[ticket] = None
+        return ticket
+
+    def admit(self, ticket: Ticket) -> bool:
+        """Its request is in form: set a descriptor aside for its leg. False if there is none."""
+        if ticket.stage is not Stage.SILENT:
+            return False
+        del self._silent[ticket]
+        if self.used() + 2 > self.most:
+            self._make_room()
+        if self.used() + 2 > self.most:
+            self._silent[ticket] = None
+            return False
+        ticket.stage = Stage.ADMITTED
+        self._admitted += 1
+        return True
+
+    def claim(self, ticket: Ticket, name: str) -> bool:
+        """Take an id for as long as the connection lasts; False if an open connection has it."""
+        if name in self._names:  # guards a client's id against another that takes it as well
+            return False
+        ticket.name = name
+        self._names.add(name)
+        return True
+
+    def part(self, ticket: Ticket) -> bool:
+        """It has its last answer. False if too many are leaving: it is then to be closed at once."""
+        self._uncount(ticket)
+        if self._leaving >= self.leaving_most:
+            return False
+        ticket.stage = Stage.LEAVING
+        self._leaving += 1
+        return True
+
+    def gone(self, ticket: Ticket) -> None:
+        """Its socket is closed."""
+        self._uncount(ticket)
+
+    def complain(self, reason: str) -> None:
+        """Log what was malformed. Guards processor and log against a client that sends it all the time."""
+        now = time.monotonic()
+        if now - self._complained_at < COMPLAINT_PAUSE:
+            self._unsaid += 1
+            return
+        log.info("turned away: %s (%d more since the last such line)", reason, self._unsaid)
+        self._complained_at, self._unsaid = now, 0
+
+    def _make_room(self) -> None:
+        oldest = next(iter(self._silent), None)
+        if oldest is not None:
+            self._uncount(oldest)
+            oldest.evict()
+
+    def _uncount(self, ticket: Ticket) -> None:
+        if ticket.stage is Stage.SILENT:
+            self._silent.pop(ticket, None)
+        elif ticket.stage is Stage.ADMITTED:
+            self._admitted -= 1
+        elif ticket.stage is Stage.LEAVING:
+            self._leaving -= 1
+        ticket.stage = Stage.GONE
+        self._names.discard(ticket.name)
+        ticket.name = ""
--- a/ironmill/cli.py
+++ b/ironmill/cli.py
@@ -19,13 +19,14 @@
 import logging
 import os
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from docopt import docopt
 
 from ironmill import __version__
-from ironmill.config import load
+from ironmill.config import Config, load
 from ironmill.net.proxy import Proxy
+from ironmill.net.signals import Signals
 from stonegap.settings import MalformedError
 
 
@@ -35,20 +36,42 @@
     if words["version"]:
         print(f"ironmill {__version__}")
         return 0
+    if words["serve"]:
+        # Before the file is read: by default SIGHUP would end the process.
+        signals = Signals()
+        try:
+            return serve(words["--config"], signals)
+        finally:
+            signals.close()
+    config = read(os.environ, words["--config"])
+    if config is None:
+        return 2
+    print(f"ironmill: the configuration of {config.name} is fit for use")
+    return 0
+
+
+def read(env: Mapping[str, str], path: str | None) -> Config | None:
+    """The configuration, or one line on what is wrong with it."""
     try:
-        config = load(os.environ, words["--config"])
+        return load(env, path)
     except MalformedError as error:
         print(f"ironmill: {error}", file=sys.stderr)
+        return None
+
+
+def serve(path: str | None, signals: Signals) -> int:
+    """Run one proxy until it is told to end."""
+    config = read(os.environ, path)
+    if config is None:
         return 2
-    if words["check-config"]:
-        print(f"ironmill: the configuration of {config.name} is fit for use")
-        return 0
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format=f"%(asctime)s.%(msecs)03d {config.name} %(message)s",
         datefmt="%H:%M:%S",
     )
+    # At SIGHUP the file's address of discovery holds: what the variable named at the start is gone.
+    later = {name: value for name, value in os.environ.items() if name != "PROXY_DISCOVERY"}
     try:
-        proxy = Proxy(config)
+        proxy = Proxy(config, signals, lambda: load(later, path))
     except OSError as error:
         print(f"ironmill: listen: {error}", file=sys.stderr)
         return 2
--- a/ironmill/config.py
+++ b/ironmill/config.py
@@ -14,6 +14,8 @@
 
 Address = tuple[str, int]
 
+SOCKETS_LEAST, SOCKETS_MOST = 64, 1 << 20
+
 
 @dataclass(frozen=True, slots=True)
 class Config:
@@ -31,6 +33,7 @@
     packets_pass: bool  # connections go on through another proxy when this one ends
     wait_limits: Mapping[str, float]  # by class: how long a client waits that does not say so
     shortest_aim: float  # of the aims for a message on an open connection
+    stated: Mapping[str, object]  # the file as it is, by key in full
 
 
 def address(text: str, key: str) -> Address:
@@ -41,13 +44,24 @@
     return host, int(port)
 
 
+def flat(value: object, path: str = "") -> dict[str, object]:
+    """The values of nested objects by their keys in full."""
+    if not isinstance(value, dict):
+        return {path: value}
+    found: dict[str, object] = {}
+    for key, item in value.items():
+        found |= flat(item, f"{path}.{key}" if path else key)
+    return found
+
+
 def load(env: Mapping[str, str], path: str | None = None) -> Config:
     """The configuration from the file and the environment; the variables win over the file."""
     path = path or env.get("PROXY_CONFIG")
     if not path:
         raise MalformedError("configuration: PROXY_CONFIG is not set, and no --config is given")
     try:
-        root = Tree(orjson.loads(Path(path).read_bytes()), "", "configuration")
+        value = orjson.loads(Path(path).read_bytes())
+        root = Tree(value, "", "configuration")
     except OSError as error:
         raise MalformedError(f"configuration: PROXY_CONFIG: {path}: {error.strerror}") from None
     except orjson.JSONDecodeError as error:
@@ -61,12 +75,15 @@
     # On these sockets a standing connection brings its lines back at once however long the messages of
     # its issuer host take, so the decisions must not count on being told of a jam.
     settings = replace(settings_from(settings_tree), tells_delay=False)
+    sockets = root.tree("limits", {}).number("sockets", 1024)
+    if not SOCKETS_LEAST <= sockets <= SOCKETS_MOST:
+        raise MalformedError(f"configuration: limits.sockets is not from {SOCKETS_LEAST} to {SOCKETS_MOST}")
     return Config(
         name=env.get("PROXY_NAME") or root.text("name"),
         listen=address(env.get("PROXY_LISTEN") or root.text("listen"), "listen"),
         discovery=address(env.get("PROXY_DISCOVERY") or root.text("discovery"), "discovery"),
         seed=seed,
-        sockets=int(root.tree("limits", {}).number("sockets", 1024)),
+        sockets=int(sockets),
         known=parse_routing(root.tree("known", {"rev": 0, "all": True, "targets": []})),
         settings=settings,
         connect_timeout=settings_tree.tree("ceilings").number("connectTimeoutS", 1.0),
@@ -76,4 +93,5 @@
             item.text("name"): item.number("hardLimitS", 10.0) for item in settings_tree.trees("categories")
         },
         shortest_aim=min((cls.message_aim for cls in settings.classes), default=0.1),
+        stated=flat(value),
     )
--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -149,6 +149,10 @@
         """The issuer host of that uid, if discovery has ever told of it."""
         return self._table.by_uid(uid)
 
+    def knows(self, class_name: str) -> bool:
+        """True if the settings name the class."""
+        return class_name in self._config.wait_limits
+
     def authorise(
         self, holder: Holder, class_name: str, wait: float | None, came_at: float, **fields: Any
     ) -> Authorisation:
--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
 import logging
 import math
@@ -13,6 +14,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ironmill.admission import Admission, Ticket
 from ironmill.config import Config
 from ironmill.gateway import Authorisation, Gateway, Leg
 from ironmill.net.issuer_host import LegDriver, LegEnd
@@ -33,13 +35,15 @@
 from ironmill.scheduler import Scheduler, Task
 from stonegap.interface import Outcome
 
-FIRST_LINE_WAIT = 10.0  # for a client's first byte to its first line's end
-FRONT_WAIT = 120.0  # between the front's questions on one connection
+# From the accept to the first line's end, however the bytes drip; after an answered PING it begins anew.
+FIRST_LINE_WAIT = 2.0
 GENTLE = 1.0  # for the other side to take its last line and end as well
+REFUSED_WAIT = 0.2  # the same, where the client was turned away
 MOVE_WAIT = 0.9  # for the line under way to end; the client must not wait longer for its MOVE
 HALF_CLOSED_WAIT = 6.0  # for an issuer host to end once its client has
 CARRY_WAIT = 38.0  # for a connection that was open before the run to be up again
 CARRY_PAUSE = 0.25
+RETRY_FULL = 0.5  # what a client is told when no descriptor is left for it
 
 log = logging.getLogger("ironmill.client")
 
@@ -54,6 +58,12 @@
         return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=6).digest())
 
 
+def busy(retry_after: float) -> bytes:
+    """The answer that trying again is harmless, and when."""
+    milliseconds = math.ceil(retry_after * 1000.0)
+    return b"BUSY %d\r\n" % milliseconds if milliseconds > 0 else b"BUSY\r\n"
+
+
 def request_fields(first: FirstLine) -> dict[str, Any]:
     """What the decisions are told of a request beyond its class."""
     fields = first.fields
@@ -73,14 +83,17 @@
 class ClientDriver:
     """Owns the client's socket and the leg's; a ``Holder`` to the gateway."""
 
-    def __init__(self, scheduler: Scheduler, gateway: Gateway, config: Config, stream: Stream) -> None:
+    def __init__(
+        self, scheduler: Scheduler, gateway: Gateway, config: Config, admission: Admission, stream: Stream
+    ) -> None:
         self._scheduler = scheduler
         self._gateway = gateway
         self._config = config
+        self._admission = admission
+        self._ticket: Ticket | None = None
         self._stream = stream
         self._side = ClientSide()
         self._first: FirstLine | None = None
-        self._asked = False
         self._authorisation: Authorisation | None = None
         self._reader: Task | None = None
         self._leg: Leg | None = None  # out or standing, as the gateway knows it
@@ -89,9 +102,17 @@
         self._writing = False  # to the client
         self._client_ended = False
         self._move_wanted = False
+        self._first_by = 0.0  # when the first line must have come
 
     def start(self) -> None:
-        """Begin to read."""
+        """Begin to read, if there is room."""
+        self._ticket = self._admission.enter(self._evicted)
+        if self._ticket is None:
+            self._stream.send_now(busy(RETRY_FULL))
+            self._stream.close()
+            return
+        ticket = self._ticket
+        self._stream.on_close = lambda: self._admission.gone(ticket)
         self._reader = self._scheduler.spawn(self._guarded, self._read)
 
     def _guarded(self, function: Callable[..., object], *args: object) -> None:
@@ -108,36 +129,53 @@
 
     # From the client
 
+    def _evicted(self) -> None:
+        """Make room: it has said nothing for longer than any other."""
+        self._side.close()
+        self._scheduler.kill(self._reader)
+        with contextlib.suppress(OSError):
+            self._stream.send_now(b"ERR\r\n")
+        self._stream.close()
+
     def _read(self) -> None:
+        self._first_by = time.monotonic() + FIRST_LINE_WAIT
         try:
             while self._side.state is not ClientState.OVER:
                 wait = None
                 if self._side.state is ClientState.FIRST:
-                    wait = FRONT_WAIT if self._asked else FIRST_LINE_WAIT
+                    wait = max(0.0, self._first_by - time.monotonic())
+                    if wait == 0.0:  # guards against bytes that drip, each of them in time
+                        raise TimedOutError
                 data = self._stream.receive(wait)
                 for event in self._side.receive(data) if data else self._side.end():
                     self._take(event)
                 if not data:
                     break
         except TimedOutError:
-            self._side.close()
-            self._finish(b"" if self._asked else b"ERR\r\n")
+            self._turn_away("no first line in time")
         except OSError:
             self._client_gone(reset=True)
         else:
             if self._side.state is ClientState.OVER and self._authorisation is None and self._first is None:
-                self._finish(b"")  # it left without a word, or a malformed one was answered
+                self._finish(b"")  # it left without a word
+
+    def _turn_away(self, reason: str) -> None:
+        """A client that does not keep to the protocol gets one plain answer and an end."""
+        self._admission.complain(reason)
+        self._side.close()
+        if self._authorisation is not None:
+            self._gateway.left(self._authorisation)
+        self._finish(b"ERR\r\n")
 
     def _take(self, event: ClientEvent) -> None:
         match event:
             case Asked():
-                self._asked = True
+                self._first_by = time.monotonic() + FIRST_LINE_WAIT
                 self._stream.send(b"PONG\r\n", GENTLE)
             case Opened():
                 self._open(event.first)
             case Malformed():
-                log.info("malformed first line: %s", event.reason)
-                self._stream.send(b"ERR\r\n", GENTLE)
+                self._turn_away(event.reason)
             case Onward():
                 self._onward(event)
             case SendingEnded():
@@ -151,6 +189,17 @@
 
     def _open(self, first: FirstLine) -> None:
         came_at = self._gateway.now()
+        ticket = self._ticket
+        assert ticket is not None
+        if not self._gateway.knows(first.fields["c"]):
+            self._turn_away("a class that does not exist")
+            return
+        if not self._admission.claim(ticket, first.id):
+            self._turn_away("the id of an open connection")
+            return
+        if not self._admission.admit(ticket):
+            self._finish(busy(RETRY_FULL))
+            return
         self._first = first
         if "at" in first.fields:
             self._leg_task = self._scheduler.spawn(self._guarded, self._carry, first)
@@ -188,8 +237,7 @@
 
     def decline(self, retry_after: float) -> None:
         """``BUSY MS``, at once."""
-        milliseconds = math.ceil(retry_after * 1000.0)
-        self._answer(b"BUSY %d\r\n" % milliseconds if milliseconds > 0 else b"BUSY\r\n")
+        self._answer(busy(retry_after))
 
     def fail(self) -> None:
         """Any other line than UP or BUSY means that it failed."""
@@ -206,17 +254,22 @@
         self._side.close()
         self._scheduler.spawn(self._finish, line)
 
-    def _finish(self, line: bytes) -> None:
+    def _finish(self, line: bytes, wait: float = REFUSED_WAIT) -> None:
         """The last line, and the end of all that is left."""
+        self._side.close()
         self._drop_leg(Outcome.CANCELLED)
         if self._stream.closed:
             return
+        lingers = self._ticket is None or self._admission.part(self._ticket)
         try:
             self._stream.send(line, GENTLE)
         except (OSError, TimedOutError):
             self._stream.abort()
+            return
+        if lingers:
+            self._stream.close_gently(wait)
         else:
-            self._stream.close_gently(GENTLE)
+            self._stream.close()
 
     def _move(self, at_last: bool) -> None:
         """End a standing connection, between two lines unless the one under way does not end."""
@@ -226,7 +279,7 @@
         between = not self._writing and driver.side.between_lines
         if between or at_last:
             self._side.close()
-            self._finish(b"MOVE\r\n" if between else b"")
+            self._finish(b"MOVE\r\n" if between else b"", GENTLE)
 
     # The leg
 
--- a/ironmill/net/discovery.py
+++ b/ironmill/net/discovery.py
@@ -7,10 +7,11 @@
 
 import orjson
 
+from ironmill.config import Address
 from ironmill.net.sockets import Stream, TimedOutError
 from ironmill.protocol.http import HttpError, Response, ResponseParser
 from ironmill.routing_table import Routing, parse_routing
-from ironmill.scheduler import Scheduler
+from ironmill.scheduler import Scheduler, Task
 from stonegap.settings import MalformedError, Tree
 
 WAIT_MS = 20_000  # how long a call for changes may wait at the agent
@@ -22,24 +23,57 @@
 
 
 class Discovery:
-    """Keeps the routing table up to date."""
+    """Keeps the routing table up to date from one address, and changes over to another when told to."""
+
+    def __init__(self, scheduler: Scheduler, address: Address, take: Callable[[Routing], None]) -> None:
+        self._scheduler = scheduler
+        self._take = take
+        self._current = Watch(scheduler, address, self._told)
+        self._next: Watch | None = None
+
+    def start(self) -> None:
+        """Begin the watch."""
+        self._current.start()
+
+    def watch_at(self, address: Address) -> None:
+        """Watch at another address. The old watch ends when the new one has brought the whole list."""
+        if self._next is not None:
+            self._next.stop()
+            self._next = None
+        if address != self._current.address:
+            self._next = Watch(self._scheduler, address, self._told)
+            self._next.start()
+
+    def _told(self, watch: Watch, routing: Routing) -> None:
+        if watch is self._next:
+            self._current.stop()
+            self._current, self._next = watch, None
+        self._take(routing)
+
+
+class Watch:
+    """The watch at one address."""
 
     def __init__(
-        self, scheduler: Scheduler, address: tuple[str, int], take: Callable[[Routing], None],
-        revision: Callable[[], int],
+        self, scheduler: Scheduler, address: Address, take: Callable[[Watch, Routing], None]
     ) -> None:
+        self.address = address
         self._scheduler = scheduler
-        self._address = address
         self._take = take
-        self._revision = revision
-        self._listed = False  # the whole list has come since the start
+        self._revision: int | None = None  # none until the whole list has come
         self._stream: Stream | None = None
         self._parser = ResponseParser()
         self._failing = False
+        self._task: Task | None = None
 
     def start(self) -> None:
-        """Begin the watch."""
-        self._scheduler.spawn(self._watch)
+        """Begin to ask."""
+        self._task = self._scheduler.spawn(self._watch)
+
+    def stop(self) -> None:
+        """Ask no more, and take no answer that is on its way."""
+        self._scheduler.kill(self._task)
+        self._hang_up()
 
     def _watch(self) -> None:
         while True:
@@ -54,10 +88,10 @@
                 self._scheduler.sleep(PAUSE)
 
     def _call(self) -> None:
-        if not self._listed:
+        if self._revision is None:
             response = self._ask("/api/targets", ANSWER_WAIT)
         else:
-            path = f"/api/targets?after={self._revision()}&wait_ms={WAIT_MS}"
+            path = f"/api/targets?after={self._revision}&wait_ms={WAIT_MS}"
             response = self._ask(path, WAIT_MS / 1000.0 + ANSWER_WAIT)
         if response.status != 200:
             raise HttpError(f"status {response.status}")
@@ -65,14 +99,15 @@
             routing = parse_routing(Tree(orjson.loads(response.body), "", "routing table"))
         except orjson.JSONDecodeError as error:
             raise HttpError(f"not JSON ({error})") from None
-        self._listed = self._listed or routing.full
-        self._take(routing)
+        if routing.full or self._revision is not None:
+            self._revision = routing.revision
+            self._take(self, routing)
 
     def _ask(self, path: str, timeout: float) -> Response:
         if self._stream is None:
-            self._stream = Stream.connect(self._scheduler, self._address, CONNECT_WAIT)
+            self._stream = Stream.connect(self._scheduler, self.address, CONNECT_WAIT)
             self._parser = ResponseParser()
-        host, port = self._address
+        host, port = self.address
         self._stream.send(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode(), CONNECT_WAIT)
         while True:
             data = self._stream.receive(timeout)
--- a/ironmill/net/listener.py
+++ b/ironmill/net/listener.py
@@ -11,7 +11,7 @@
 from ironmill.scheduler import READ, Scheduler
 
 BACKLOG = 1024
-AT_ONCE = 64  # accepted in one turn; the others run in between
+AT_ONCE = 16  # accepted in one turn; the others run in between
 PAUSE = 0.05  # when descriptors have run out
 _EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
--- /dev/null
+++ b/ironmill/net/reload.py
@@ -0,0 +1,45 @@
+"""SIGHUP: the configuration file is read again, and what can be taken from it is taken."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from ironmill.config import Address, Config
+from stonegap.settings import MalformedError
+
+# Nothing to log: each start has its own, and the list that was known then is old news.
+_PER_START = ("seed", "known", "discovery")
+_NAMED = 8  # changed keys in one line; guards the log against a file that has nothing in common
+
+log = logging.getLogger("ironmill.reload")
+
+
+class Reload:
+    """Takes in a new configuration file; what was told with the old one goes on otherwise."""
+
+    def __init__(
+        self, config: Config, read: Callable[[], Config], watch_at: Callable[[Address], object]
+    ) -> None:
+        self._config = config
+        self._read = read
+        self._watch_at = watch_at
+
+    def run(self) -> None:
+        """Read the file once more."""
+        try:
+            new = self._read()
+        except MalformedError as error:
+            # Guards service against a bad file: the old configuration is still fit for use.
+            log.error("reload: %s; the old configuration goes on", error)
+            return
+        old = self._config.stated
+        changed = [
+            key for key in sorted(old.keys() | new.stated.keys())
+            if old.get(key) != new.stated.get(key) and key.partition(".")[0] not in _PER_START
+        ]
+        if changed:
+            more = f" and {len(changed) - _NAMED} more" if len(changed) > _NAMED else ""
+            log.warning("reload: takes a restart: %s%s", ", ".join(changed[:_NAMED]), more)
+        log.info("reload: discovery is at %s:%d", *new.discovery)
+        self._watch_at(new.discovery)
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -1,16 +1,13 @@
-"""A planned end: SIGTERM wakes the poll, and the proxy answers what it owes before it goes."""
+"""A planned end: the proxy answers what it owes before it goes."""
 
 from __future__ import annotations
 
 import logging
-import signal
-import socket
-import types
 
 from ironmill.config import Config
 from ironmill.gateway import Gateway
 from ironmill.net.listener import Listener
-from ironmill.scheduler import READ, Scheduler
+from ironmill.scheduler import Scheduler
 
 ACCEPT_FOR = 0.5  # new connections go on coming for up to 0.4 s
 LOOK = 0.02
@@ -21,31 +18,20 @@
 
 
 class Shutdown:
-    """Waits for the signal and ends the scheduler's run."""
+    """Ends the scheduler's run when a signal asks for it."""
 
     def __init__(self, scheduler: Scheduler, gateway: Gateway, listener: Listener, config: Config) -> None:
         self._scheduler = scheduler
         self._gateway = gateway
         self._listener = listener
         self._config = config
-        # A signal's handler cannot end the poll by itself: Python takes the poll up again after it.
-        self._wake, self._bell = socket.socketpair()
-        self._wake.setblocking(False)
-        self._bell.setblocking(False)
+        self._ending = False
 
-    def start(self) -> None:
-        """Take SIGTERM and SIGINT from now on."""
-        signal.set_wakeup_fd(self._bell.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._ignore)
-        self._scheduler.spawn(self._run)
-
-    @staticmethod
-    def _ignore(number: int, frame: types.FrameType | None) -> None:
-        """The byte on the socket pair does the work."""
-
-    def _run(self) -> None:
-        self._scheduler.wait(self._wake.fileno(), READ)
+    def run(self) -> None:
+        """End in an orderly way. A second signal changes nothing."""
+        if self._ending:
+            return
+        self._ending = True
         self._drain()
         self._scheduler.stop()
 
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -7,13 +7,21 @@
 import os
 import socket
 import struct
+import time
+from collections.abc import Callable
 
 from ironmill.scheduler import READ, WRITE, Scheduler
 
 CHUNK = 16 * 1024  # the most that is read at once, and so the most that is held for the other side
+DISCARD = 64 * 1024  # the most that is read and thrown away of what a client sends after its last answer
+READS_IN_A_ROW = 4  # of one connection; then the others have a turn
 _LINGER_NONE = struct.pack("ii", 1, 0)
 
 
+def _nothing() -> None:
+    """Nobody waits for the close."""
+
+
 class TimedOutError(Exception):
     """A wait on a socket took too long."""
 
@@ -25,6 +33,8 @@
         self._scheduler = scheduler
         self._sock = sock
         self.closed = False
+        self.on_close: Callable[[], object] = _nothing
+        self._unparked = 0  # reads in a row that did not wait
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -48,11 +58,18 @@
 
     def receive(self, timeout: float | None = None) -> bytes:
         """Some bytes, none at the end. Tries first: mostly the bytes are what woke the task."""
+        if self._unparked >= READS_IN_A_ROW:
+            # Guards the other tasks against a sender at full speed, whose reader would never wait.
+            self._unparked = 0
+            self._scheduler.sleep(0.0)
         while True:
             try:
-                return self._sock.recv(CHUNK)
+                data = self._sock.recv(CHUNK)
             except BlockingIOError:
-                pass
+                self._unparked = 0
+            else:
+                self._unparked += 1
+                return data
             if not self._scheduler.wait(self._sock.fileno(), READ, timeout):
                 raise TimedOutError
 
@@ -88,6 +105,8 @@
         """Close it. No task may be waiting on it."""
         self.closed = True
         self._sock.close()
+        told, self.on_close = self.on_close, _nothing
+        told()
 
     def abort(self) -> None:
         """Close it with a reset, as a broken connection ends."""
@@ -96,19 +115,20 @@
             self.close()
 
     def close_gently(self, timeout: float) -> None:
-        """End the sending and read to the other side's end, so that no reset overtakes the last bytes."""
+        """End the sending and read to the other side's end, so that no reset overtakes the last bytes.
+
+        Guards the processor: of a sender at full speed only so much is read and thrown away, and what
+        it sends beyond that waits in the kernel until the close.
+        """
         self.finish()
-        timer = self._scheduler.call_later(timeout, self._shut)
+        deadline = time.monotonic() + timeout
+        left = DISCARD
         try:
-            while self.receive():
-                pass
-        except OSError:
+            while left > 0 and (data := self.receive(max(0.0, deadline - time.monotonic()))):
+                left -= len(data)
+            if left <= 0:
+                self._scheduler.sleep(max(0.0, deadline - time.monotonic()))
+        except (OSError, TimedOutError):
             pass
         finally:
-            self._scheduler.cancel(timer)
             self.close()
-
-    def _shut(self) -> None:
-        """Wakes whoever reads: what follows is the end."""
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
--- a/ironmill/protocol/client.py
+++ b/ironmill/protocol/client.py
@@ -9,7 +9,10 @@
 
 from ironmill.protocol.lines import END, LIMIT, Lines, LineTooLongError
 
-HELD_LIMIT = 64 * 1024  # of what a client sends before it has its answer
+HELD_LIMIT = LIMIT  # of what a connection that was open elsewhere sends before it is up again here
+PINGS_MOST = 64  # questions of the front on one connection
+PINGS_AT_ONCE = 4  # in what is read at once: the front waits for each answer
+WAIT_MOST = 3_600_000  # milliseconds: a longer wait than an hour is not meant
 
 
 class MalformedLineError(Exception):
@@ -44,10 +47,13 @@
         name, equals, value = part.partition("=")
         if not equals or not name:
             raise MalformedLineError("the list holds something that is not name=value")
+        if name in fields:
+            # Guards the one meaning of a line: the last would be read here, and the first elsewhere.
+            raise MalformedLineError("a name comes twice in the list")
         fields[name] = value
     if "c" not in fields:
         raise MalformedLineError("the class is missing")
-    if "d" in fields and not re.fullmatch(r"[0-9]{1,9}", fields["d"]):
+    if "d" in fields and not (re.fullmatch(r"[0-9]{1,9}", fields["d"]) and int(fields["d"]) <= WAIT_MOST):
         raise MalformedLineError("d is not a number of milliseconds")
     return FirstLine(line + END, words[1], words[2], fields)
 
@@ -66,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Malformed:
-    """The client does not speak the protocol: one plain answer and a close."""
+    """The client does not speak the protocol: one plain answer and a close. Its leg, if any, ends."""
 
     reason: str
 
@@ -108,6 +114,8 @@
         self.state = ClientState.FIRST
         self._lines = Lines()
         self._early = b""
+        self._may_be_early = False
+        self._pings = 0
 
     def receive(self, data: bytes) -> list[ClientEvent]:
         """The client sent these bytes."""
@@ -115,10 +123,7 @@
             return self._first(data)
         if self.state is ClientState.WAITING:
             self._early += data
-            if len(self._early) > HELD_LIMIT:  # guards memory against a client that does not wait
-                self.state = ClientState.OVER
-                return [Left()]
-            return []
+            return self._early_bytes()
         if self.state is ClientState.STANDING:
             return [Onward(data, len(self._lines.feed(data)))]
         return []
@@ -129,20 +134,33 @@
             lines = self._lines.feed(data)
         except LineTooLongError:
             return [self._malformed(f"a line holds more than {LIMIT} bytes")]
+        pings = 0
         while lines:
             line = lines.pop(0)
             if line == b"PING":
+                pings, self._pings = pings + 1, self._pings + 1
+                if pings > PINGS_AT_ONCE or self._pings > PINGS_MOST:  # guards the processor
+                    return [self._malformed("one PING after another")]
                 events.append(Asked())
                 continue
             try:
-                events.append(Opened(parse_first_line(line)))
+                first = parse_first_line(line)
             except MalformedLineError as error:
                 return [*events, self._malformed(str(error))]
+            # Packets of a connection that is open at an issuer host already may be on their way.
+            self._may_be_early = first.fields.get("mid") == "1" or "at" in first.fields
             self._early = b"".join(early + END for early in lines) + self._lines.take_rest()
             self.state = ClientState.WAITING
-            break
+            refused = self._early_bytes()
+            return [*events, *(refused or [Opened(first)])]
         return events
 
+    def _early_bytes(self) -> list[ClientEvent]:
+        """A client waits for its answer. Guards the issuer hosts and memory against one that does not."""
+        if not self._early or (self._may_be_early and len(self._early) <= HELD_LIMIT):
+            return []
+        return [self._malformed("more came before the answer to the first line")]
+
     def _malformed(self, reason: str) -> Malformed:
         self.state = ClientState.OVER
         return Malformed(reason)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,69 @@
+"""Admission against a model: what is counted, and that it never goes over the stated figure."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from ironmill.admission import Admission, Ticket
+
+
+class Counted(RuleBasedStateMachine):
+    """Clients come, speak, are answered and go in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.admission = Admission(64)
+        self.open: dict[Ticket, int] = {}  # descriptors that each holds or has set aside
+        self.evicted = 0
+
+    def _pick(self, at: int) -> Ticket | None:
+        return list(self.open)[at % len(self.open)] if self.open else None
+
+    @rule()
+    def enter(self) -> None:
+        oldest = next((ticket for ticket, held in self.open.items() if ticket.name == "" and held == 1), None)
+        before = self.evicted
+
+        def evict() -> None:
+            self.evicted += 1
+            del self.open[ticket_of[0]]
+
+        ticket_of: list[Ticket] = []
+        ticket = self.admission.enter(evict)
+        if self.evicted > before:
+            assert oldest is not None
+            assert oldest not in self.open
+        if ticket is not None:
+            ticket_of.append(ticket)
+            self.open[ticket] = 1
+
+    @rule(at=st.integers(0, 99))
+    def speak(self, at: int) -> None:
+        ticket = self._pick(at)
+        if ticket is None or ticket.name:
+            return
+        assert self.admission.claim(ticket, f"i{id(ticket)}")
+        assert not self.admission.claim(ticket, ticket.name)
+        if self.admission.admit(ticket):
+            self.open[ticket] = 2
+
+    @rule(at=st.integers(0, 99), answered=st.booleans())
+    def go(self, at: int, answered: bool) -> None:
+        ticket = self._pick(at)
+        if ticket is None:
+            return
+        if answered and self.admission.part(ticket):
+            self.open[ticket] = 1
+            ticket.name = "left"
+            return
+        self.admission.gone(ticket)
+        self.admission.gone(ticket)  # told twice, counted once
+        del self.open[ticket]
+
+    @invariant()
+    def counted(self) -> None:
+        assert self.admission.used() == sum(self.open.values()) <= self.admission.most
+
+
+TestCounted = Counted.TestCase
