Keep groups together, count reported load, leave out failing hosts, gate by reports

One issuer host answered ERR within 1 ms to most legs and, being empty, was drawn again and again (LOAD_OF_OUTCOME fades). Ruled out: the cold successor, which held 36 connections at 0.54.

Numbers of issuer hosts now follow from the uid alone, so that proxies agree on a group's order.

--- a/ironmill/routing_table.py
+++ b/ironmill/routing_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import logging
 from dataclasses import dataclass
 
@@ -98,7 +99,7 @@
         host = self._by_uid.get(listed.uid)
         if host is None:
             log.info("issuer host %s: first told, %s", listed.uid, listed.stage.value)
-            host = IssuerHost(len(self._by_uid) + 1, listed.uid, address)
+            host = IssuerHost(self._number(listed.uid), listed.uid, address)
             self._by_uid[listed.uid] = self._by_number[host.number] = host
         host.address = address
         if listed.stage is Stage.READY:
@@ -107,6 +108,13 @@
             self._leave(host, now)
         return Entry(host.number, listed.stage, listed.zone, listed.cell, listed.boot, listed.weight)
 
+    def _number(self, uid: str) -> int:
+        """From the uid alone, so that every proxy, also one that restarted, gives it the same."""
+        number = int.from_bytes(hashlib.blake2b(uid.encode(), digest_size=6).digest())
+        while number in self._by_number:
+            number += 1
+        return number
+
     @staticmethod
     def _leave(host: IssuerHost, now: float) -> None:
         if host.leaving_since is None:
--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -48,15 +48,16 @@
 
 # --- tunables ------------------------------------------------------------------------------------
 
-# Threshold: higher follows a rising load sooner and a falling one later.
-ALPHA = 0.9
+# Threshold: lower keeps more backends green, so that more groups find one that they prefer among them. On 32
+# simulated days with reports alone 0.9, 0.6, 0.3 and 0.1 score 0.675, 0.675, 0.687 and 0.693.
+ALPHA = 0.1
 
 # Health: what a symptom adds to a backend's count, how high all of them together may go, and how
 # fast they fade. Longer memory keeps more crowd off a bad backend, and off a mended one too.
 STANDING_MAX = 6.0
 STANDING_HALF_LIFE = 4.0
 LOAD_OF_OUTCOME = {
-    Outcome.ERROR: 1.0,
+    Outcome.ERROR: 2.0,
     Outcome.FULL: 3.0,
     Outcome.TIMEOUT: 3.0,
     Outcome.CONNECT_FAILED: 4.0,
@@ -67,6 +68,14 @@
 # Slowness below this share of the aim is no symptom.
 SLOW_SHARE = 0.33
 
+# A backend on which so many attempts in a row came to nothing is left out for a while, longer each time;
+# then one attempt at a time tries it. Never more than this part of the ready ones: beyond it the fault is
+# elsewhere.
+OUT_AFTER = 3
+OUT_FIRST = 1.0
+OUT_MOST = 8.0
+OUT_PART = 0.5
+
 # Ends after which the link to the backend stays open for another connection.
 LEAVES_LINK = (Outcome.OK, Outcome.ERROR, Outcome.CANCELLED)
 
@@ -100,10 +109,13 @@
 HOLD_LOOK = 0.1
 ATTEMPT_LEAST = 0.02
 
-# Load shedding: the part of the own connections that may be jammed before the gate closes a step, and
-# below which it opens again; seconds between steps; factor down and step up.
+# Load shedding: the part of the own connections (where reports tell: of the backends) that may be jammed
+# before the gate closes a step, and below which it opens again; seconds between steps; factor down, step up.
 SHED_ABOVE = 0.2
 SHED_BELOW = 0.1
+SHED_ABOVE_REPORTED = 0.3
+SHED_BELOW_REPORTED = 0.2
+SHED_LEAST_REPORTS = 3  # backends that say enough to judge by
 SHED_STEP = 0.5
 SHED_FACTOR = 0.35
 SHED_RISE = 0.04
@@ -117,12 +129,18 @@
 # average a good part misses it. 0.4 to 0.6 score alike, 1.0 clearly less.
 JAM_SHARE = 0.5
 
-# Probes, where no note tells a delay: one at each look goes to the backend in use that was asked longest
-# ago. From PROBE_OVER on (load asked over what it can do) its messages are taken to miss their aim. One
-# each 0.3 s or each 1 s, and bounds of 0.8 or 0.95, score less.
-PROBE_LOOK = 0.5
+# Probes: one at each look goes to the backend that was asked longest ago. From PROBE_OVER on (load asked over
+# what it can do) its messages are taken to miss their aim; 0.85 and 0.95 score less. A report counts for
+# REPORT_MEMORY; one that comes back the same to the last digit this often is taken for a frozen one.
+PROBE_LOOK = 0.25
 PROBE_OVER = 0.9
 PROBE_TIMER = "probe"
+REPORT_MEMORY = 8.0
+REPORT_SAME = 4
+REPORT_MOST = 4.0  # a load beyond it says no more than that it is far too high
+# Moves off a backend that reports a jam: at each report one, and this part of what is over MOVE_TO.
+MOVE_PART = 0.5
+MOVE_TO = 0.8
 
 # Discovery by asking: spread of the first calls and the backoff after failures, seconds.
 ASK_SPREAD = 4.0
@@ -130,6 +148,17 @@
 ASK_BACKOFF_MAX = 8.0
 
 
+def preference(group: int, backend: int) -> int:
+    """How much a group prefers a backend: the same at every relay, and unlike any other group's order."""
+    value = ((group & _WORD) ^ (backend * 0x9E3779B97F4A7C15)) & _WORD
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & _WORD
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & _WORD
+    return value ^ (value >> 31)
+
+
+_WORD = 0xFFFFFFFFFFFFFFFF
+
+
 # --- token table ---------------------------------------------------------------------------------
 
 
@@ -193,6 +222,12 @@
         fitting = [backend for backend in self._order[start:end] if fits(backend)]
         return rng.choice(fitting) if fitting else None
 
+    def prefer(
+        self, start: int, end: int, rank: Callable[[int], tuple[int, int]], fits: Callable[[int], bool]
+    ) -> int | None:
+        """The fitting member of the highest rank among those placed from start to before end."""
+        return max((backend for backend in self._order[start:end] if fits(backend)), key=rank, default=None)
+
     def _up(self, backend: int) -> None:
         count = self._count[backend]
         edge = self._below[count + 1] - 1
@@ -223,8 +258,9 @@
     """What this relay knows of one backend."""
 
     __slots__ = (
-        "cell", "cold_tokens", "cold_window", "id", "idle_until", "jammed_at", "live", "probed_at", "ready",
-        "standing", "standing_at", "started_at", "weight", "zone",
+        "cell", "cold_tokens", "cold_window", "failures", "id", "idle_until", "jammed_at", "live", "load",
+        "load_at", "load_live", "load_same", "out_until", "probed_at", "ready", "report", "standing",
+        "standing_at", "started_at", "trying", "weight", "zone",
     )
 
     def __init__(self, backend: int) -> None:
@@ -238,7 +274,15 @@
         self.idle_until: list[float] = []  # own idle links to it: when each will be closed
         self.standing = 0.0  # symptoms, in connections
         self.standing_at = 0.0
+        self.failures = 0  # attempts in a row that came to nothing
+        self.out_until = -math.inf  # left out till then, for its failures
+        self.trying = 0  # attempts out that do not stand
         self.probed_at = -math.inf
+        self.report: tuple[tuple[str, float], ...] = ()
+        self.load = 0.0  # as last reported: what it is asked for over what it can do
+        self.load_at = -math.inf
+        self.load_live = 0  # own connections at that moment
+        self.load_same = 0  # reports in a row that were the same to the last digit
         self.jammed_at = -math.inf  # when a message last took longer than its aim
         self.cold_window = -1
         self.cold_tokens = 0
@@ -278,6 +322,36 @@
             backend.standing_at = now
 
 
+class Breaker:
+    """Leaves out a backend on which one attempt after another comes to nothing.
+
+    Guards against one that fails at once: it is always the emptiest, so by its count it would be sent
+    everything again as soon as its symptoms have faded.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def failed(self, backend: Backend, now: float) -> None:
+        """An attempt, or a probe, came to nothing."""
+        backend.failures += 1
+        over = backend.failures - OUT_AFTER
+        if over >= 0:
+            pause = min(OUT_MOST, OUT_FIRST * 2.0 ** min(over, 8))
+            backend.out_until = now + pause * (0.75 + 0.5 * self._rng.random())
+
+    @staticmethod
+    def stood(backend: Backend) -> None:
+        """An attempt stands: whatever it was, it is over."""
+        backend.failures = 0
+        backend.out_until = -math.inf
+
+    @staticmethod
+    def out(backend: Backend, now: float) -> bool:
+        """True while it gets nothing, or has the one attempt that tries it."""
+        return backend.failures >= OUT_AFTER and (now < backend.out_until or backend.trying > 0)
+
+
 # --- cold-start budget ---------------------------------------------------------------------------
 
 
@@ -343,16 +417,15 @@
         self._open = 1.0
         self._step_at = now
 
-    def update(self, jammed: int, live: int, now: float) -> None:
-        """Take the steps due, by the jam that stands now."""
-        part = jammed / max(SHED_LEAST, live)
+    def update(self, part: float, above: float, below: float, now: float) -> None:
+        """Take the steps due, by the part that is jammed now."""
         if now - self._step_at < SHED_STEP:
             return
         steps = min(20, int((now - self._step_at) / SHED_STEP))
         self._step_at = now
-        if part > SHED_ABOVE:
+        if part > above:
             self._open = max(SHED_FLOOR, self._open * SHED_FACTOR)
-        elif part < SHED_BELOW:
+        elif part < below:
             self._open = min(1.0, self._open + SHED_RISE * steps)
 
     @property
@@ -446,12 +519,14 @@
         self._table = TokenTable()
         self._budget = ColdBudget(settings, self._rng, now)
         self._gate = Gate(self._rng, now)
+        self._breaker = Breaker(self._rng)
+        self._unit = 0.0  # what an own connection adds to a reported load, over all that reported
         self._jammed: dict[int, None] = {}  # backends noted as jammed, in the order of the first note
         self._subscription = Subscription(settings, self._rng)
         self._live: dict[str, _Live] = {}
         self._threshold: int | None = None  # set at the first placement
         self._actions: list[Action] = self._subscription.start()
-        if settings.probes and not settings.tells_delay:
+        if settings.probes:
             self._actions.append(SetTimer(PROBE_LOOK * self._rng.random(), PROBE_TIMER))
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -528,6 +603,8 @@
             # A restarted process has nothing to do with the old one's troubles.
             backend.started_at = entry.started_at
             backend.standing = 0.0
+            backend.load_at = -math.inf
+            self._breaker.stood(backend)
         backend.ready = True
         self._read(backend)
 
@@ -548,16 +625,34 @@
         cold = self._budget.is_cold(backend, self._now)
         standing = Health.standing(backend, self._now)
         # A cold backend reads zero and would win every draw: it is ready only within its budget.
-        if backend.ready and (not cold or self._budget.allows(backend, self._now)):
-            held = int(backend.live * self._mean_weight / backend.weight + 1e-9)
+        out = self._breaker.out(backend, self._now) and self._may_leave_out()
+        if backend.ready and not out and (not cold or self._budget.allows(backend, self._now)):
+            held = int(self._held_by(backend) + 1e-9)
             self._table.put(backend.id, held + int(standing) + self._surcharge(backend))
         elif backend.id in self._table:
             self._table.drop(backend.id)
-        if backend.ready and (cold or standing > 0.0 or idle):
+        reported = self._now - backend.load_at <= REPORT_MEMORY
+        if backend.ready and (cold or standing > 0.0 or idle or backend.failures >= OUT_AFTER or reported):
             self._changing[backend.id] = None
         else:
             self._changing.pop(backend.id, None)
 
+    def _held_by(self, backend: Backend) -> float:
+        """The own connections there; where it has reported its load, in shares of what all reported.
+
+        A relay sees only its own slice, and nothing of a neighbour that takes half of the machine. So the
+        report stands for what was held when it came, and own counts for all that has changed since.
+        """
+        if self._unit > 0.0 and self._now - backend.load_at <= REPORT_MEMORY:
+            return max(0.0, backend.load / self._unit + backend.live - backend.load_live)
+        return backend.live * self._mean_weight / backend.weight
+
+    def _may_leave_out(self) -> bool:
+        """False where so many fail that leaving them out would crowd the others."""
+        ready = [backend for backend in self._backends.values() if backend.ready]
+        failing = sum(1 for backend in ready if backend.failures >= OUT_AFTER)
+        return failing <= OUT_PART * len(ready)
+
     def _surcharge(self, backend: Backend) -> int:
         """What a new connection there costs beyond its load, in connections.
 
@@ -588,8 +683,14 @@
             return backend not in live.tried and self._in_scope(live, backend)
 
         chosen: int | None = None
-        for start, end in ((0, green), (green, yellow), (yellow, ready)):
-            chosen = table.draw(start, end, self._rng, fits)
+        group = live.request.group
+        # What came mid-flow stands somewhere already: most likely where its group does, tokens or not.
+        tokens = ((0, green), (green, yellow), (yellow, ready))
+        for start, end in ((0, ready),) if live.request.rerouted else tokens:
+            if group is None:
+                chosen = table.draw(start, end, self._rng, fits)
+            else:
+                chosen = table.prefer(start, end, lambda backend: self._rank(live, backend), fits)
             if chosen is not None:
                 break
         if chosen is None:
@@ -604,6 +705,18 @@
             self._threshold -= 1
         return True
 
+    def _rank(self, live: _Live, backend: int) -> tuple[int, int]:
+        """By the group's preference; what came mid-flow first of all by where its group stands here."""
+        group = live.request.group
+        assert group is not None
+        here = 0
+        if live.request.rerouted:
+            here = sum(
+                1 for other in self._live.values()
+                if other.established and other.backend == backend and other.request.group == group
+            )
+        return here, preference(group, backend)
+
     def _in_scope(self, live: _Live, backend_id: int) -> bool:
         """False where a repeat of the request could take effect a second time."""
         if live.maybe_ran is None or live.cls.effect is Effect.SAFE:
@@ -626,6 +739,7 @@
         live.sent += 1
         live.tried.append(backend.id)
         backend.live += 1
+        backend.trying += 1
         self._hold_for(live, 1)
         if backend.idle_until:
             backend.idle_until.pop()
@@ -643,7 +757,7 @@
         self._live[request.id] = live
         if not request.returning:
             self._budget.arrived(len(self._table), self._now)
-        self._gate.update(self._jammed_connections(), len(self._live), self._now)
+        self._update_gate()
         # In a jam common to most backends each further connection only adds to it.
         if request.rerouted or self._gate.admits(self._over_share(request.tenant)):
             self._place_or_hold(live)
@@ -662,6 +776,20 @@
         tenant = live.request.tenant
         self._held[tenant] = self._held.get(tenant, 0) + change
 
+    def _update_gate(self) -> None:
+        """By the reports where there are some: a slow set-up may only be a crowd that came at once."""
+        if self._settings.probes:
+            loads = [
+                backend.load for backend in self._backends.values()
+                if backend.ready and self._now - backend.load_at <= REPORT_MEMORY
+            ]
+            jammed = sum(1 for load in loads if load >= PROBE_OVER)
+            part = jammed / len(loads) if len(loads) >= SHED_LEAST_REPORTS else 0.0
+            self._gate.update(part, SHED_ABOVE_REPORTED, SHED_BELOW_REPORTED, self._now)
+        else:
+            part = self._jammed_connections() / max(SHED_LEAST, len(self._live))
+            self._gate.update(part, SHED_ABOVE, SHED_BELOW, self._now)
+
     def _jammed_connections(self) -> int:
         """Own connections on backends where a message lately took longer than its aim."""
         jammed = 0
@@ -737,6 +865,9 @@
             return
         live.established, live.over = True, True
         backend = self._backends.get(live.backend)
+        if backend is not None:
+            backend.trying -= 1
+            self._breaker.stood(backend)
         if backend is not None and event.delay > live.cls.message_aim * SLOW_SHARE:
             # A set-up waits behind the same work as a message, and shows a jam where no note tells one:
             # on real sockets standing connections bring their lines back at once all the same.
@@ -759,6 +890,10 @@
             backend.idle_until.append(self._now + self._settings.keepalive)
         load = LOAD_OF_OUTCOME.get(event.outcome, 0.0)
         Health.add(backend, load, self._now)
+        if not live.established:
+            backend.trying -= 1
+            if load > 0.0:
+                self._breaker.failed(backend, self._now)
         self._read(backend)
         if not backend.ready and backend.live == 0:
             del self._backends[backend.id]
@@ -819,35 +954,67 @@
     # Probes
 
     def _probe(self) -> None:
-        """Ask the backend in use that was asked longest ago."""
+        """Ask the backend that was asked longest ago."""
         self._actions.append(SetTimer(PROBE_LOOK * (0.75 + 0.5 * self._rng.random()), PROBE_TIMER))
-        used = [backend for backend in self._backends.values() if backend.ready and backend.live > 0]
-        if used:
-            backend = min(used, key=lambda backend: backend.probed_at)
+        ready = [backend for backend in self._backends.values() if backend.ready]
+        if ready:
+            backend = min(ready, key=lambda backend: backend.probed_at)
             backend.probed_at = self._now
             self._actions.append(Probe(backend.id))
 
     def _probed(self, event: Probed) -> None:
-        """A backend that is asked for more than it can do answers its messages late, all of them."""
+        """Take in a load report. Over PROBE_OVER a backend answers its messages late, all of them."""
         backend = self._backends.get(event.backend)
         if backend is None:
             return
+        if event.outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
+            # Guards against a machine that vanished: nothing else may be sent there for long.
+            self._breaker.failed(backend, self._now)
+            backend.load_at = -math.inf
+            self._read(backend)
+            return
         load = dict(event.report).get("x0")
-        if event.outcome is not Outcome.OK or load is None:
+        if event.outcome is not Outcome.OK or load is None or not math.isfinite(load) or load < 0.0:
             return
-        if load < PROBE_OVER:
+        # Guards against a report that no longer follows what happens: each true one is a little noisy.
+        backend.load_same = backend.load_same + 1 if event.report == backend.report else 0
+        backend.report = event.report
+        frozen = backend.load_same >= REPORT_SAME and backend.live > 0
+        backend.load, backend.load_live = min(load, REPORT_MOST), backend.live
+        backend.load_at = -math.inf if frozen else self._now
+        self._weigh()
+        if frozen or load < PROBE_OVER:
+            self._read(backend)
             return
         Health.set_slowness(backend, load, self._now)
         self._read(backend)
         backend.jammed_at = self._now
         self._jammed[backend.id] = None
         if self._gate.closing or self._jam_is_local():
-            here = [
-                live for live in self._live.values()
-                if live.out and live.established and not live.moved and live.backend == backend.id
-            ]
-            if here:
-                self._move(self._rng.choice(here))
+            self._lighten(backend)
+
+    def _weigh(self) -> None:
+        """What an own connection stands for in the reported loads."""
+        told = [
+            backend for backend in self._backends.values()
+            if backend.ready and self._now - backend.load_at <= REPORT_MEMORY
+        ]
+        held = sum(backend.load_live for backend in told)
+        self._unit = sum(backend.load for backend in told) / held if held > 0 else 0.0
+
+    def _lighten(self, backend: Backend) -> None:
+        """Move some connections off a jam: those first of whose group the fewest stand there."""
+        here = [
+            live for live in self._live.values()
+            if live.out and live.established and not live.moved and live.backend == backend.id
+        ]
+        sizes: dict[int | None, int] = {}
+        for live in here:
+            sizes[live.request.group] = sizes.get(live.request.group, 0) + 1
+        here.sort(key=lambda live: (sizes[live.request.group], self._rng.random()))
+        count = 1 + int(max(0.0, 1.0 - MOVE_TO / backend.load) * len(here) * MOVE_PART)
+        for live in here[:count]:
+            self._move(live)
 
     def _move(self, live: _Live) -> None:
         if not live.moved:
