Serve passing connections until the end by force is near

Shutdown._drain went as soon as nothing was owed, 0.8 s after the signal, though the end by force comes 3.7 s after it. Ruled out: the new configurations, taken 0.2 s after SIGHUP.

Now the proxy serves what stands until 0.4 s before the end by force. What is still owed then is declined. Where packets do not pass, the MOVEs are spread over the same time.

--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -336,6 +336,14 @@
         self._drop(authorisation)
         authorisation.holder.fail()
 
+    def settle_all(self) -> None:
+        """The proxy ends: whoever is owed an answer is declined now, for nothing else will answer."""
+        for authorisation in list(self._authorisations.values()):
+            if not authorisation.over:
+                self._count("declined at the end")
+                self._drop(authorisation)
+                authorisation.holder.decline(self._config.settings.retry_after_max * 0.2)
+
     # Book-keeping
 
     def _admit(self, holder: Holder, give_up_at: float) -> Authorisation:
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 
 from ironmill.config import Config
 from ironmill.gateway import Gateway
@@ -11,8 +12,11 @@
 
 ACCEPT_FOR = 0.5  # new connections go on coming for up to 0.4 s
 LOOK = 0.02
-LONGEST = 3.0  # a longest deadline below this counts as this
-FLUSH = 0.3
+# The end by force comes no sooner than the longest deadline (counted as 3 s at the most) and 0.7 s more.
+LONGEST = 3.0
+GRACE = 0.7
+SPARE = 0.25  # the process has ended by itself so much sooner
+FLUSH = 0.15  # for the last answers to go out
 
 log = logging.getLogger("ironmill.shutdown")
 
@@ -38,16 +42,30 @@
     def _drain(self) -> None:
         owed, standing = self._gateway.pending(), len(self._gateway.standing())
         log.info("ending: %d owed an answer, %d stand", owed, standing)
+        longest = min(LONGEST, max(self._config.wait_limits.values(), default=LONGEST))
+        end = time.monotonic() + longest + GRACE - SPARE
         self._scheduler.sleep(ACCEPT_FOR)
         self._listener.close()
-        longest = max(LONGEST, *self._config.wait_limits.values())
-        for _ in range(int(longest / LOOK)):
-            if not self._gateway.pending():
-                break
-            self._scheduler.sleep(LOOK)
         if not self._config.packets_pass:
-            # Connections that die with this proxy are told so; passing ones go on through another.
-            for authorisation in self._gateway.standing():
-                authorisation.holder.move()
+            # Connections that die with this proxy are told so, evenly over the time that is left, so that
+            # their clients do not all come again at once. Passing ones go on through another proxy when
+            # this one ends, and are served here until then.
+            self._move_all(end - FLUSH)
+        while time.monotonic() < end - FLUSH and (self._gateway.pending() or self._gateway.standing()):
+            self._scheduler.sleep(LOOK)
+        self._gateway.settle_all()  # guards what is still owed against the end by force
         self._scheduler.sleep(FLUSH)
         log.info("ended: %s", self._gateway.counts)
+
+    def _move_all(self, end: float) -> None:
+        left = self._gateway.standing()
+        for at, authorisation in enumerate(left):
+            if authorisation.standing:
+                authorisation.holder.move()
+            pause = (end - time.monotonic()) / (len(left) - at)
+            self._scheduler.sleep(min(pause, LOOK))
+        while time.monotonic() < end and self._gateway.pending():
+            self._scheduler.sleep(LOOK)
+        for authorisation in self._gateway.standing():  # what came to stand meanwhile
+            authorisation.holder.move()
+
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -527,12 +527,13 @@
 @pytest.mark.parametrize("packets_pass", [True, False])
 def test_a_planned_end_answers_what_is_owed(monkeypatch: pytest.MonkeyPatch, packets_pass: bool) -> None:
     monkeypatch.setattr(shutdown_module, "ACCEPT_FOR", 0.05)
+    monkeypatch.setattr(shutdown_module, "LONGEST", 0.4)
     signals = Signals()
     hung_up: list[bool] = []
     out: dict[str, bytes] = {}
 
     def story(town: Town) -> None:
-        standing, _ = town.pair()
+        standing, held_by = town.pair()
         signals.on(
             signal.SIGTERM, Shutdown(town.scheduler, town.gateway, town.listener, town.config).run
         )
@@ -549,6 +550,9 @@
         town.scheduler.sleep(0.2)
         leg.send(b"UP r5\r\n")
         out["late"] = read_line(late)
+        if packets_pass:  # served till the end is near
+            standing.send(b"hey\r\n")
+            out["line"] = read_line(held_by)
         out["standing"] = standing.receive(None if not packets_pass else 5.0)
 
     try:
@@ -559,6 +563,20 @@
     assert hung_up
     assert out["late"].startswith(b"UP r5\r\n")
     assert out.get("standing") == (None if packets_pass else b"MOVE\r\n")
+    assert out.get("line") == (b"hey\r\n" if packets_pass else None)
+
+
+def test_at_the_end_what_is_still_owed_is_declined() -> None:
+    def story(town: Town) -> None:
+        client = town.client(OPEN)
+        leg = town.leg()
+        read_line(leg)
+        town.gateway.settle_all()
+        assert read_line(client).startswith(b"BUSY ")
+        assert leg.receive(5.0) == b""
+        assert not town.gateway.pending()
+
+    Town().run(story)
 
 
 def test_descriptors_that_run_out_do_not_end_the_listener(monkeypatch: pytest.MonkeyPatch) -> None:
