Send away evenly at a planned end, and close the gate for two jammed hosts at the least

The crowd at a relay's start no longer counts as its ordinary rate, which the budget for cold hosts is reckoned from.

--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -139,6 +139,10 @@
         """Those whose connections stand."""
         return [authorisation for authorisation in self._authorisations.values() if authorisation.standing]
 
+    def busy(self) -> bool:
+        """True while an answer is owed or a connection stands."""
+        return bool(self._authorisations)
+
     # What drivers tell
 
     def routing(self, routing: Routing) -> None:
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 
 from ironmill.config import Config
@@ -12,6 +13,9 @@
 
 ACCEPT_FOR = 0.5  # new connections go on coming for up to 0.4 s
 LOOK = 0.02
+# What stands is sent away from then on: restarts follow each other, and the proxy before may be back by then.
+MOVE_AFTER = 1.5
+MOVE_WAIT = 0.2  # for the last line under way to end
 # The end by force comes no sooner than the longest deadline (counted as 3 s at the most) and 0.7 s more.
 LONGEST = 3.0
 GRACE = 0.7
@@ -46,26 +50,22 @@
         end = time.monotonic() + longest + GRACE - SPARE
         self._scheduler.sleep(ACCEPT_FOR)
         self._listener.close()
-        if not self._config.packets_pass:
-            # Connections that die with this proxy are told so, evenly over the time that is left, so that
-            # their clients do not all come again at once. Passing ones go on through another proxy when
-            # this one ends, and are served here until then.
-            self._move_all(end - FLUSH)
-        while time.monotonic() < end - FLUSH and (self._gateway.pending() or self._gateway.standing()):
-            self._scheduler.sleep(LOOK)
+        self._scheduler.sleep(MOVE_AFTER - ACCEPT_FOR)
+        self._move_all(end - FLUSH)
         self._gateway.settle_all()  # guards what is still owed against the end by force
         self._scheduler.sleep(FLUSH)
         log.info("ended: %s", self._gateway.counts)
 
     def _move_all(self, end: float) -> None:
-        left = self._gateway.standing()
-        for at, authorisation in enumerate(left):
-            if authorisation.standing:
+        """Send away what stands, evenly over the time, so that the clients do not all come again at once.
+
+        Also where packets pass through: what stands when the process ends is set up anew there, too.
+        """
+        moved: set[str] = set()
+        while (left := end - time.monotonic()) > 0.0 and self._gateway.busy():
+            waiting = [one for one in self._gateway.standing() if one.id not in moved]
+            # So many a look that the last one goes at the end.
+            for authorisation in waiting[: math.ceil(len(waiting) * LOOK / max(LOOK, left - MOVE_WAIT))]:
+                moved.add(authorisation.id)
                 authorisation.holder.move()
-            pause = (end - time.monotonic()) / (len(left) - at)
-            self._scheduler.sleep(min(pause, LOOK))
-        while time.monotonic() < end and self._gateway.pending():
             self._scheduler.sleep(LOOK)
-        for authorisation in self._gateway.standing():  # what came to stand meanwhile
-            authorisation.holder.move()
-
--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -100,11 +100,13 @@
 DRAIN_LOOK_COLD = 1.0
 DRAIN_TIMER = "drain:"
 
-# Cold start: part of the tipping load that all relays together aim at. The rest is left to chance.
+# Cold start: part of the tipping load that all relays together aim at. The rest is left to chance, and to a
+# span that lies across two windows. On 64 simulated days 0.5 and 1 score 0.773 and 0.785, without a fall.
 COLD_SAFETY = 0.5
 # Memory of the ordinary rate of placements, seconds; longer trusts the past more.
 RATE_MEMORY = 30.0
 RATE_LEAST_SPAN = 5.0
+RATE_SKIP = 3.0  # of a relay's life: what comes at its start is a crowd, and no ordinary rate
 
 # Life of a request: first pause before a further attempt (doubled each time, with full jitter), how
 # often a held request looks for a backend, and the least time that an attempt is worth.
@@ -118,7 +120,7 @@
 SHED_BELOW = 0.1
 SHED_ABOVE_REPORTED = 0.3
 SHED_BELOW_REPORTED = 0.2
-SHED_LEAST_REPORTS = 3  # backends that say enough to judge by
+SHED_LEAST_JAMMED = 2  # one jammed backend is a matter of health, however few there are
 SHED_STEP = 0.5
 SHED_FACTOR = 0.35
 SHED_RISE = 0.04
@@ -369,13 +371,14 @@
     def __init__(self, settings: Settings, rng: random.Random, now: float) -> None:
         self._settings = settings
         self._rng = rng
-        self._start = now
+        self._start = self._sum_at = now + RATE_SKIP
         self._sum = 0.0
-        self._sum_at = now
         self._phase = rng.random() * settings.tip_after
 
     def arrived(self, ready: int, now: float) -> None:
         """A first try came (crowds that come again say nothing about the ordinary rate)."""
+        if now < self._start:
+            return
         self._sum = self._sum * math.exp((self._sum_at - now) / RATE_MEMORY) + 1.0 / max(1, ready)
         self._sum_at = now
 
@@ -393,7 +396,7 @@
 
     def _share(self, backend: Backend, now: float) -> float:
         rules = self._settings
-        span = RATE_MEMORY * (1.0 - math.exp((self._start - now) / RATE_MEMORY))
+        span = RATE_MEMORY * (1.0 - math.exp(min(0.0, self._start - now) / RATE_MEMORY))
         rate = self._sum * math.exp((self._sum_at - now) / RATE_MEMORY) / max(RATE_LEAST_SPAN, span)
         age = min(1.0, max(0.0, (now - backend.started_at) / rules.ramp_time))
         capacity = rules.cold_from + (1.0 - rules.cold_from) * age
@@ -804,7 +807,7 @@
                 if backend.ready and self._now - backend.load_at <= REPORT_MEMORY
             ]
             jammed = sum(1 for load in loads if load >= PROBE_OVER)
-            part = jammed / len(loads) if len(loads) >= SHED_LEAST_REPORTS else 0.0
+            part = jammed / len(loads) if jammed >= SHED_LEAST_JAMMED else 0.0
             self._gate.update(part, SHED_ABOVE_REPORTED, SHED_BELOW_REPORTED, self._now)
         else:
             part = self._jammed_connections() / max(SHED_LEAST, len(self._live))
