--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -120,6 +120,7 @@
 SHED_BELOW = 0.1
 SHED_ABOVE_REPORTED = 0.3
 SHED_BELOW_REPORTED = 0.2
+SHED_MEAN = 0.7  # load over all that report, under which the others can take what a jammed one cannot
 SHED_LEAST_JAMMED = 2  # one jammed backend is a matter of health, however few there are
 SHED_STEP = 0.5
 SHED_FACTOR = 0.35
@@ -807,7 +808,9 @@
                 if backend.ready and self._now - backend.load_at <= REPORT_MEMORY
             ]
             jammed = sum(1 for load in loads if load >= PROBE_OVER)
-            part = jammed / len(loads) if jammed >= SHED_LEAST_JAMMED else 0.0
+            # Guards arrivals against a gate that closes for a neighbour on some while others are half idle.
+            common = jammed >= SHED_LEAST_JAMMED and sum(loads) >= SHED_MEAN * len(loads)
+            part = jammed / len(loads) if common else 0.0
             self._gate.update(part, SHED_ABOVE_REPORTED, SHED_BELOW_REPORTED, self._now)
         else:
             part = self._jammed_connections() / max(SHED_LEAST, len(self._live))
