Keep registrations standing in epoll, withdraw timers in constant time, and measure the core

The proxy's cost per line and per set-up grew with the connections that merely stand, so a mass reconnect of thousands could not be served. Three causes, each linear: select.poll rebuilds its array after every register/unregister and the kernel scans it whole; sched.scheduler.cancel searches its queue and heapifies it; and, what the earlier probes had not explained, DelayMeter.delay looked through all open connections of an issuer host for the oldest unanswered line at every line that came back (gateway.lines_back, delay.py).

The meter keeps its lines in the order of their times. It also holds at most 256 unanswered lines of one client.

What a set-up still grows by, and memory, come next.

--- a/Makefile
+++ b/Makefile
@@ -1,21 +1,32 @@
 # PYTHON is the interpreter of the development environment; the CI script hands in its own.
 PYTHON ?= .venv-dev/bin/python
+ifeq ($(PYTHON),.venv-dev/bin/python)
+SETUP := .venv-dev/complete
+endif
 
-.PHONY: build dev test lint run
+.PHONY: build dev demo lint run test
 
-build:
-	sh deploy/build.sh
-
-dev:
-	python3 -m venv .venv-dev
-	.venv-dev/bin/pip install -q --disable-pip-version-check -e '.[dev]'
+demo: $(SETUP)
+	$(PYTHON) -m ironmill_lab demo $(ARGS)
 
-test:
+test: $(SETUP)
 	$(PYTHON) -m pytest
 
+lint: $(SETUP)
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m mypy
+
+build:
+	sh deploy/build.sh
+
 run:
 	.venv/bin/python -m ironmill serve
 
-lint:
-	$(PYTHON) -m ruff check .
-	$(PYTHON) -m mypy
+dev: .venv-dev/complete
+
+# The stamp is written last, so an environment that was left half-made is made anew.
+.venv-dev/complete: pyproject.toml
+	rm -rf .venv-dev
+	python3 -m venv .venv-dev
+	.venv-dev/bin/pip install -q --disable-pip-version-check -e '.[dev]'
+	touch $@
--- a/ironmill/cli.py
+++ b/ironmill/cli.py
@@ -1,13 +1,15 @@
 """A proxy for long-lived TCP connections.
 
 Usage:
-  ironmill serve [--config=FILE]
+  ironmill serve [--config=FILE] [--poller=NAME]
   ironmill check-config [--config=FILE]
   ironmill version
   ironmill (-h | --help)
 
 Options:
   --config=FILE  The configuration as JSON; without it, the file that PROXY_CONFIG names.
+  --poller=NAME  What waits on the sockets: epoll, or poll, which costs more the more
+                 connections stand [default: epoll].
   -h --help      Show this text.
 
 serve runs one proxy in the foreground, check-config says whether serve would accept the
@@ -27,6 +29,7 @@
 from ironmill.config import Config, load
 from ironmill.net.proxy import Proxy
 from ironmill.net.signals import Signals
+from ironmill.scheduler import POLLERS
 from stonegap.settings import MalformedError
 
 
@@ -40,7 +43,7 @@
         # Before the file is read: by default SIGHUP would end the process.
         signals = Signals()
         try:
-            return serve(words["--config"], signals)
+            return serve(words["--config"], signals, words["--poller"])
         finally:
             signals.close()
     config = read(os.environ, words["--config"])
@@ -59,8 +62,11 @@
         return None
 
 
-def serve(path: str | None, signals: Signals) -> int:
+def serve(path: str | None, signals: Signals, poller: str) -> int:
     """Run one proxy until it is told to end."""
+    if poller not in POLLERS:
+        print(f"ironmill: --poller is one of {', '.join(POLLERS)}, not {poller!r}", file=sys.stderr)
+        return 2
     config = read(os.environ, path)
     if config is None:
         return 2
@@ -71,7 +77,7 @@
     # At SIGHUP the file's address of discovery holds: what the variable named at the start is gone.
     later = {name: value for name, value in os.environ.items() if name != "PROXY_DISCOVERY"}
     try:
-        proxy = Proxy(config, signals, lambda: load(later, path))
+        proxy = Proxy(config, signals, lambda: load(later, path), poller)
     except OSError as error:
         print(f"ironmill: listen: {error}", file=sys.stderr)
         return 2
--- a/ironmill/delay.py
+++ b/ironmill/delay.py
@@ -7,27 +7,31 @@
 
 from __future__ import annotations
 
-import sched
 import time
 from collections import deque
 from collections.abc import Callable
 
 from ironmill.scheduler import Timers
+from ironmill.timers import Timer
 
 PERIOD = 1.0  # between two tellings, and how far back answered lines count
 # A sound connection brings a line back at once, and clients send one every 2 s. A silent issuer host must be
 # given up on within 7 s of falling silent, which is up to 2 s before the first line that is not answered.
 SILENT_AFTER = 2.5
+# Unanswered lines of one connection that are timed. Guards memory against a client that sends at full speed
+# what is not answered; those beyond are counted alone, until the timed ones have come back.
+TIMED_MOST = 256
 
 
 class _Lines:
     """The unanswered lines of one connection."""
 
-    __slots__ = ("sent", "timer")
+    __slots__ = ("sent", "timer", "untimed")
 
     def __init__(self) -> None:
         self.sent: deque[float] = deque()
-        self.timer: sched.Event | None = None
+        self.untimed = 0
+        self.timer: Timer | None = None
 
 
 class DelayMeter:
@@ -47,9 +51,13 @@
         self._silent = silent
         self._clock = clock
         self._open: dict[str, _Lines] = {}
-        self._samples: deque[tuple[float, float]] = deque()
+        # In the order of their times, for the clock does not go back: what is asked of all connections at
+        # each line must not cost more the more of them stand.
+        self._samples: deque[tuple[float, float]] = deque()  # when a line was answered, what it took
+        self._sum = 0.0  # of what they took
+        self._sent: deque[tuple[float, _Lines]] = deque()  # timed lines, answered ones among them
         self._last = ""  # the connection that the latest measurement came from
-        self._telling: sched.Event | None = None
+        self._telling: Timer | None = None
 
     def add(self, connection: str) -> None:
         """The connection stands here now."""
@@ -60,17 +68,27 @@
         lines = self._open.pop(connection, None)
         if lines is not None:
             self._timers.cancel(lines.timer)
+            lines.sent.clear()
         if not self._open:
             self._timers.cancel(self._telling)
             self._telling = None
             self._samples.clear()
+            self._sent.clear()
+            self._sum = 0.0
 
     def sent(self, connection: str, count: int) -> None:
         """So many lines went to the issuer host."""
         lines = self._open.get(connection)
         if lines is None or count == 0:
             return
-        lines.sent.extend([self._clock()] * count)
+        timed = min(count, TIMED_MOST - len(lines.sent))
+        if lines.untimed or timed < count:
+            timed = 0 if lines.untimed else timed
+            lines.untimed += count - timed
+        now = self._clock()
+        for _ in range(timed):
+            lines.sent.append(now)
+            self._sent.append((now, lines))
         if lines.timer is None:
             self._watch(connection, lines)
 
@@ -80,9 +98,18 @@
         if lines is None:
             return
         now = self._clock()
-        for _ in range(min(count, len(lines.sent))):
-            self._samples.append((now, now - lines.sent.popleft()))
+        timed = min(count, len(lines.sent))
+        for _ in range(timed):
+            took = now - lines.sent.popleft()
+            self._samples.append((now, took))
+            self._sum += took
             self._last = connection
+        lines.untimed = max(0, lines.untimed - (count - timed))
+        if lines.untimed and not lines.sent:
+            # Guards the watch for silence: one that was not timed is taken as sent now.
+            lines.untimed -= 1
+            lines.sent.append(now)
+            self._sent.append((now, lines))
         self._timers.cancel(lines.timer)
         lines.timer = None
         if lines.sent:
@@ -94,10 +121,14 @@
         """What a line takes now, in seconds."""
         now = self._clock()
         while self._samples and self._samples[0][0] < now - PERIOD:
-            self._samples.popleft()
-        mean = sum(delay for _, delay in self._samples) / max(1, len(self._samples))
-        waiting = max((now - lines.sent[0] for lines in self._open.values() if lines.sent), default=0.0)
-        return max(mean, waiting)
+            self._sum -= self._samples.popleft()[1]
+        if not self._samples:
+            self._sum = 0.0  # what rounding has left
+        sent = self._sent
+        while sent and (not sent[0][1].sent or sent[0][1].sent[0] > sent[0][0]):
+            sent.popleft()  # answered, or its connection is gone
+        waiting = now - sent[0][0] if sent else 0.0
+        return max(self._sum / max(1, len(self._samples)), waiting)
 
     def _watch(self, connection: str, lines: _Lines) -> None:
         """A timer for the oldest unanswered line: first for slowness, then for silence."""
--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -9,7 +9,6 @@
 
 import itertools
 import logging
-import sched
 import time
 from collections import deque
 from collections.abc import Callable
@@ -20,6 +19,7 @@
 from ironmill.delay import DelayMeter
 from ironmill.routing_table import IssuerHost, Routing, RoutingTable
 from ironmill.scheduler import Timers
+from ironmill.timers import Timer
 from stonegap.balance import Balancer
 from stonegap.interface import (
     Abandoned,
@@ -88,7 +88,7 @@
     standing: bool = False
     silent: bool = False  # nothing came back for long
     over: bool = False  # no answer is owed any more
-    deadline: sched.Event | None = None
+    deadline: Timer | None = None
 
 
 @dataclass(slots=True, eq=False)
--- a/ironmill/net/listener.py
+++ b/ironmill/net/listener.py
@@ -50,6 +50,7 @@
         self._scheduler.kill(self._task)
         while self._accept_one():
             pass
+        self._scheduler.forget(self._sock.fileno())
         self._sock.close()
 
     def _accept(self) -> None:
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -27,14 +27,16 @@
 class Proxy:
     """Listens once it is made; serves until it is told to end."""
 
-    def __init__(self, config: Config, signals: Signals, read_again: Callable[[], Config]) -> None:
+    def __init__(
+        self, config: Config, signals: Signals, read_again: Callable[[], Config], poller: str = "epoll"
+    ) -> None:
         self._config = config
         self._signals = signals
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         if soft < config.sockets:
             most = config.sockets if hard == resource.RLIM_INFINITY else min(config.sockets, hard)
             resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
-        self.scheduler = Scheduler()
+        self.scheduler = Scheduler(poller)
         self.gateway = Gateway(config, self.scheduler)
         self.gateway.prober = ProbeDriver(self.scheduler, config.connect_timeout, self.gateway.probed)
         self.discovery = Discovery(self.scheduler, config.discovery, self.gateway.routing)
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -35,6 +35,7 @@
         self.closed = False
         self.on_close: Callable[[], object] = _nothing
         self._unparked = 0  # reads in a row that did not wait
+        self._drained = False  # the last read took all that had come
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -57,21 +58,29 @@
         return stream
 
     def receive(self, timeout: float | None = None) -> bytes:
-        """Some bytes, none at the end. Tries first: mostly the bytes are what woke the task."""
+        """Some bytes, none at the end; TimedOutError after the time-out, in seconds.
+
+        Tries first, but for where the last read has just taken all there was.
+        """
         if self._unparked >= READS_IN_A_ROW:
             # Guards the other tasks against a sender at full speed, whose reader would never wait.
             self._unparked = 0
             self._scheduler.sleep(0.0)
+        in_time = True
         while True:
-            try:
-                data = self._sock.recv(CHUNK)
-            except BlockingIOError:
-                self._unparked = 0
-            else:
-                self._unparked += 1
-                return data
-            if not self._scheduler.wait(self._sock.fileno(), READ, timeout):
-                raise TimedOutError
+            if not self._drained or not in_time:
+                try:
+                    data = self._sock.recv(CHUNK)
+                except BlockingIOError:
+                    self._unparked = 0
+                else:
+                    self._unparked += 1
+                    self._drained = 0 < len(data) < CHUNK
+                    return data
+                if not in_time:
+                    raise TimedOutError
+            in_time = self._scheduler.wait(self._sock.fileno(), READ, timeout)
+            self._drained = False
 
     def send_some(self, data: bytes | memoryview, timeout: float | None = None) -> int:
         """Write what the socket takes, waiting until it takes something."""
@@ -103,6 +112,8 @@
 
     def close(self) -> None:
         """Close it. No task may be waiting on it."""
+        if not self.closed:
+            self._scheduler.forget(self._sock.fileno())
         self.closed = True
         self._sock.close()
         told, self.on_close = self.on_close, _nothing
--- a/ironmill/scheduler.py
+++ b/ironmill/scheduler.py
@@ -1,25 +1,29 @@
-"""Greenlets over ``select.poll``, with a timer of its own for each wait. Nothing of the protocol.
+"""Greenlets over ``select.epoll`` or ``select.poll``, with a timer of its own for each wait.
 
-The hub is the greenlet that called ``run``. Tasks park in ``wait`` or ``sleep`` and the hub resumes
-them; timer actions run in the hub itself and must not park.
+Nothing of the protocol. The hub is the greenlet that called ``run``. Tasks park in ``wait`` or ``sleep``
+and the hub resumes them; timer actions run in the hub itself and must not park.
+
+A descriptor is registered at its first wait and stays registered until ``forget``: what merely stands costs
+nothing. The events are level-triggered. One that nobody waits for is taken off when it is first seen, so a
+wait may come late but never misses what was there before it.
 """
 
 from __future__ import annotations
 
-import contextlib
 import logging
 import math
-import sched
 import select
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from greenlet import GreenletExit, getcurrent, greenlet
 
-READ, WRITE = select.POLLIN, select.POLLOUT
+from ironmill.timers import Timer, TimerQueue
+
+READ, WRITE = select.POLLIN, select.POLLOUT  # EPOLLIN and EPOLLOUT have the same values
 _BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
+_READABLE, _WRITABLE = READ | _BROKEN, WRITE | _BROKEN
 
 log = logging.getLogger("ironmill.scheduler")
 
@@ -27,26 +31,63 @@
 class Timers(Protocol):
     """The part of the scheduler that those need who never park."""
 
-    def call_later(self, delay: float, action: Callable[..., object], *args: Any) -> sched.Event:
-        """Call the action after the delay."""
+    def call_later(self, delay: float, action: Callable[..., object], *args: Any) -> Timer:
+        """Call the action after the delay, in seconds."""
 
-    def cancel(self, timer: sched.Event | None) -> None:
+    def cancel(self, timer: Timer | None) -> None:
         """Withdraw a timer; nothing happens if it has fired."""
 
 
+class Poller(Protocol):
+    """What ``select.epoll`` and ``select.poll`` have in common, the time-out in milliseconds."""
+
+    def register(self, fd: int, mask: int) -> None:
+        """Watch a new descriptor."""
+
+    def modify(self, fd: int, mask: int) -> None:
+        """Watch for other events."""
+
+    def unregister(self, fd: int) -> None:
+        """Watch it no more."""
+
+    def poll(self, timeout: float | None) -> list[tuple[int, int]]:
+        """The descriptors on which something happened, and what."""
+
+
+class _Epoll:
+    """``select.epoll``, which counts its time-out in seconds."""
+
+    def __init__(self) -> None:
+        self._epoll = select.epoll()
+        self.register, self.modify, self.unregister = (
+            self._epoll.register, self._epoll.modify, self._epoll.unregister
+        )
+
+    def poll(self, timeout: float | None) -> list[tuple[int, int]]:
+        # Half a millisecond less, or what is lost in the division is rounded up to one more.
+        return self._epoll.poll(timeout if not timeout else (timeout - 0.5) / 1000.0)
+
+
+POLLERS: dict[str, Callable[[], Poller]] = {"epoll": _Epoll, "poll": select.poll}
+
+
 class Task:
     """One greenlet and what it waits for."""
 
-    __slots__ = ("_greenlet", "killed", "parked", "watch")
+    __slots__ = ("_args", "_function", "_greenlet", "killed", "parked", "watch")
 
     def __init__(self, function: Callable[..., object], args: tuple[Any, ...], hub: greenlet) -> None:
-        self._greenlet = greenlet(lambda _: self._run(function, args), hub)
+        self._function: Callable[..., object] | None = function
+        self._args = args
+        self._greenlet = greenlet(self._run, hub)
         self.parked = True  # not begun: the first turn begins it
         self.killed = False
         self.watch: tuple[int, int] | None = None
 
-    @staticmethod
-    def _run(function: Callable[..., object], args: tuple[Any, ...]) -> None:
+    def _run(self, _: object) -> None:
+        function, self._function = self._function, None
+        args, self._args = self._args, ()
+        assert function is not None
         try:
             function(*args)
         except GreenletExit:
@@ -71,14 +112,18 @@
 class Scheduler:
     """Runs tasks and timers until stopped."""
 
-    def __init__(self) -> None:
+    def __init__(self, poller: str = "epoll") -> None:
         self._hub = getcurrent()
-        self._poll = select.poll()
-        self._timers = sched.scheduler(time.monotonic, time.sleep)
+        self._poll = POLLERS[poller]()
+        self._timers = TimerQueue()
         self._ready: deque[tuple[Task, object]] = deque()
-        self._watched: dict[int, dict[int, Task]] = {}
+        self._masks: dict[int, int] = {}  # what each descriptor is registered for
+        self._readers: dict[int, Task] = {}
+        self._writers: dict[int, Task] = {}
         self._current: Task | None = None
         self._stopped = False
+        self.call_later = self._timers.call_later
+        self.cancel = self._timers.cancel
 
     # Tasks
 
@@ -99,50 +144,57 @@
         self._wake(task, None)
 
     def sleep(self, delay: float) -> None:
-        """Let the others run for so long."""
+        """Let the others run for so long, in seconds."""
         self._park(delay)
 
     def wait(self, fd: int, event: int, timeout: float | None = None) -> bool:
-        """Wait until the descriptor is ready for READ or WRITE, or broken; False if time ran out."""
+        """Wait until the descriptor is ready for READ or WRITE, or broken; False if time ran out.
+
+        Whoever has waited on a descriptor calls ``forget`` before it is closed.
+        """
         task = self._running()
-        waiters = self._watched.setdefault(fd, {})
-        if event in waiters:
+        waiters, others = (
+            (self._readers, self._writers) if event == READ else (self._writers, self._readers)
+        )
+        if fd in waiters:
             raise RuntimeError(f"two tasks wait for the same event of descriptor {fd}")
-        waiters[event] = task
+        waiters[fd] = task
         task.watch = (fd, event)
-        self._register(fd)
+        mask = self._masks.get(fd)
+        if mask is None or not mask & event:
+            # The other event goes on being watched only if somebody waits for it.
+            self._register(fd, event | (READ + WRITE - event if fd in others else 0))
         try:
             return self._park(timeout) is True
         finally:
             self._unwatch(task)
 
-    # Timers
-
-    def call_later(self, delay: float, action: Callable[..., object], *args: Any) -> sched.Event:
-        """Call the action, in the hub, after the delay."""
-        return self._timers.enterabs(time.monotonic() + delay, 0, self._guarded, (action, args))
-
-    def cancel(self, timer: sched.Event | None) -> None:
-        """Withdraw a timer; nothing happens if it has fired."""
-        if timer is not None:
-            with contextlib.suppress(ValueError):
-                self._timers.cancel(timer)
+    def forget(self, fd: int) -> None:
+        """The descriptor is about to be closed, and its number may mean another one soon."""
+        if self._masks.pop(fd, None) is not None:
+            self._poll.unregister(fd)
 
     # The hub
 
     def run(self) -> None:
         """Run until ``stop``."""
+        ready, readers, writers = self._ready, self._readers, self._writers
         while not self._stopped:
-            for _ in range(len(self._ready)):
-                self._turn(*self._ready.popleft())
-            delay = self._timers.run(blocking=False)
+            for _ in range(len(ready)):
+                self._turn(*ready.popleft())
+            delay = self._timers.run()
             if self._stopped:
                 break
             timeout = None if delay is None else math.ceil(delay * 1000.0)
-            for fd, events in self._poll.poll(0 if self._ready else timeout):
-                for event, task in list(self._watched.get(fd, {}).items()):
-                    if events & (event | _BROKEN):
-                        self._wake(task, True)
+            for fd, events in self._poll.poll(0 if ready else timeout):
+                reader = readers.get(fd) if events & _READABLE else None
+                writer = writers.get(fd) if events & _WRITABLE else None
+                if reader is not None:
+                    self._wake(reader, True)
+                if writer is not None:
+                    self._wake(writer, True)
+                elif reader is None or events & WRITE:
+                    self._unwanted(fd)
 
     def stop(self) -> None:
         """End ``run`` after the present turn."""
@@ -175,28 +227,24 @@
             self._ready.append((task, value))
 
     def _unwatch(self, task: Task) -> None:
-        if task.watch is None:
-            return
-        fd, event = task.watch
-        task.watch = None
-        waiters = self._watched[fd]
-        del waiters[event]
-        if not waiters:
-            del self._watched[fd]
-        self._register(fd)
-
-    def _register(self, fd: int) -> None:
-        mask = 0
-        for event in self._watched.get(fd, ()):
-            mask |= event
+        """The task waits no more. What it waited for stays registered: mostly it is waited for again."""
+        if task.watch is not None:
+            fd, event = task.watch
+            task.watch = None
+            del (self._readers if event == READ else self._writers)[fd]
+
+    def _unwanted(self, fd: int) -> None:
+        """Something happened that nobody waits for. Guards against a hub that is woken by it for ever."""
+        mask = (READ if fd in self._readers else 0) | (WRITE if fd in self._writers else 0)
         if mask:
-            self._poll.register(fd, mask)
+            self._register(fd, mask)
         else:
-            self._poll.unregister(fd)
+            self.forget(fd)  # an end or an error is told whatever the mask
 
-    @staticmethod
-    def _guarded(action: Callable[..., object], args: tuple[Any, ...]) -> None:
-        try:
-            action(*args)
-        except Exception:  # guards the hub: a timer's failure must not end the process
-            log.exception("a timer failed")
+    def _register(self, fd: int, mask: int) -> None:
+        known = self._masks.get(fd)
+        if known is None:
+            self._poll.register(fd, mask)
+        elif known != mask:
+            self._poll.modify(fd, mask)
+        self._masks[fd] = mask
--- /dev/null
+++ b/ironmill_lab/__main__.py
@@ -0,0 +1,58 @@
+"""The laboratory of ironmill. All of it stays on loopback and ends by itself.
+
+Usage:
+  ironmill_lab demo [--stay] [--clients=N]
+  ironmill_lab measure NAME [--quick] [--poller=NAME] [--program=DIR]
+  ironmill_lab emulate [--hosts=N]
+  ironmill_lab floor KIND --target=HOST:PORT
+  ironmill_lab (-h | --help)
+
+Options:
+  --stay         Keep the demonstration up until it is interrupted.
+  --clients=N    How many clients the demonstration has [default: 60].
+  --quick        Smaller sizes: done within a minute.
+  --poller=NAME  What the proxy waits with: epoll or poll [default: epoll].
+  --program=DIR  Measure the proxy of another checkout, found in this folder.
+  --hosts=N      How many issuer hosts are emulated [default: 6].
+  --target=HOST:PORT  Where a floor sends all lines on to.
+  -h --help      Show this text.
+
+Measurements: core. Each prints a table, and as its last line one JSON object.
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from docopt import docopt
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the sub-command; the exit status."""
+    words = docopt(__doc__, argv=list(sys.argv[1:] if argv is None else argv))
+    # Also when it is told to end it leaves no process behind: the ends of its blocks are run.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
+    # Imported where used: the emulated neighbours need not carry what the measurements do.
+    if words["emulate"]:
+        from ironmill_lab import emulate
+
+        return emulate.run(int(words["--hosts"]))
+    if words["floor"]:
+        from ironmill_lab import floors
+
+        return floors.run(words["KIND"], words["--target"])
+    if words["demo"]:
+        from ironmill_lab import demo
+
+        return demo.run(int(words["--clients"]), words["--stay"])
+    from ironmill_lab import measure
+
+    program = Path(words["--program"]).resolve() if words["--program"] else None
+    return measure.run(words["NAME"], words["--quick"], words["--poller"], program)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ironmill_lab/emulate.py
@@ -0,0 +1,89 @@
+"""The process of the emulated neighbours: issuer hosts and discovery, told what to do in JSON lines.
+
+It reads one command a line from standard input, ``["drain", "s-2"]`` for one, and writes one line with the
+answer. It ends when its input does, so it never outlives the process that started it.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from ironmill.net.sockets import CHUNK
+from ironmill.scheduler import READ, Scheduler
+from ironmill_lab.discovery import EmulatedDiscovery
+from ironmill_lab.hosts import EmulatedHost
+
+ZONES = "ab"
+
+
+class Neighbourhood:
+    """Issuer hosts ``s-0`` and so on, listed by one discovery."""
+
+    def __init__(self, scheduler: Scheduler, hosts: int) -> None:
+        self._scheduler = scheduler
+        self.discovery = EmulatedDiscovery(scheduler)
+        self.hosts: dict[str, EmulatedHost] = {}
+        for at in range(hosts):
+            self.add(f"s-{at}")
+
+    def add(self, uid: str, boot: float = 0.0) -> None:
+        """One more issuer host, listed as up."""
+        host = EmulatedHost(self._scheduler, uid, ZONES[len(self.hosts) % len(ZONES)])
+        self.hosts[uid] = host
+        self.discovery.put(uid, host.address, host.zone, "up", boot)
+
+    def drain(self, uid: str, stay: float = 2.0, over: float = 2.0) -> None:
+        """Tell discovery, wait so long, send away what is left over so many seconds, then be gone."""
+        host = self.hosts[uid]
+        host.drain()
+        self.discovery.put(uid, host.address, host.zone, "draining")
+        self._scheduler.spawn(self._leave, host, stay, over)
+
+    def _leave(self, host: EmulatedHost, stay: float, over: float) -> None:
+        self._scheduler.sleep(stay)
+        host.send_away(over)
+        host.close()
+        self.discovery.put(host.uid, host.address, host.zone, "removed")
+
+    def told(self) -> dict[str, Any]:
+        """What the issuer hosts have seen."""
+        return {
+            "discovery": self.discovery.address, "asked": self.discovery.asked,
+            "hosts": [host.told() for host in self.hosts.values()],
+        }
+
+
+def run(hosts: int) -> int:
+    """Serve until standard input ends; the exit status."""
+    scheduler = Scheduler()
+    neighbourhood = Neighbourhood(scheduler, hosts)
+    commands: dict[str, Callable[..., object]] = {
+        "told": lambda: None, "add": neighbourhood.add, "drain": neighbourhood.drain,
+    }
+
+    def listen() -> None:
+        descriptor, held = sys.stdin.fileno(), b""
+        os.set_blocking(descriptor, False)
+        try:
+            while True:
+                scheduler.wait(descriptor, READ)
+                data = os.read(descriptor, CHUNK)
+                if not data:
+                    break
+                *lines, held = (held + data).split(b"\n")
+                for line in lines:
+                    word, *args = orjson.loads(line)
+                    commands[word](*args)
+                    sys.stdout.buffer.write(orjson.dumps(neighbourhood.told()) + b"\n")
+                    sys.stdout.buffer.flush()
+        finally:
+            scheduler.stop()  # also after a failure: who asked must not wait for ever
+
+    scheduler.spawn(listen)
+    scheduler.run()
+    return 0
--- /dev/null
+++ b/ironmill_lab/floors.py
@@ -0,0 +1,99 @@
+"""Floors for ``measure core``: the least that forwarding the same lines costs, without and with greenlets.
+
+Both take a client's connection, open one to the target and copy bytes each way; nothing is parsed, counted
+or decided. ``epoll`` is a bare loop, ``greenlet`` the project's scheduler with two tasks a connection.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+import sys
+
+from ironmill.net.listener import Listener
+from ironmill.net.sockets import CHUNK, Stream, TimedOutError
+from ironmill.scheduler import Scheduler
+
+Address = tuple[str, int]
+
+
+def run(kind: str, target: str) -> int:
+    """Serve until killed. The first line of standard output is the port."""
+    host, _, port = target.rpartition(":")
+    {"epoll": _epoll, "greenlet": _greenlet}[kind]((host, int(port)))
+    return 0
+
+
+def _say_port(address: Address) -> None:
+    sys.stdout.write(f"{address[1]}\n")
+    sys.stdout.flush()
+
+
+def _epoll(target: Address) -> None:
+    listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
+    listener.setblocking(False)
+    _say_port(listener.getsockname())
+    poll = select.epoll()
+    poll.register(listener.fileno(), select.EPOLLIN)
+    socks: dict[int, socket.socket] = {}
+    other: dict[int, int] = {}
+    while True:
+        for fd, _ in poll.poll():
+            if fd == listener.fileno():
+                _epoll_accept(listener, target, poll, socks, other)
+            elif fd in socks:
+                try:
+                    data = socks[fd].recv(CHUNK)
+                    if data:
+                        socks[other[fd]].sendall(data)
+                        continue
+                except OSError:
+                    pass
+                for end in (other[fd], fd):
+                    del other[end]
+                    socks.pop(end).close()
+
+
+def _epoll_accept(
+    listener: socket.socket, target: Address, poll: select.epoll, socks: dict[int, socket.socket],
+    other: dict[int, int],
+) -> None:
+    try:
+        client, _ = listener.accept()
+    except BlockingIOError:
+        return
+    leg = socket.create_connection(target)
+    for sock, peer in ((client, leg), (leg, client)):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        socks[sock.fileno()] = sock
+        other[sock.fileno()] = peer.fileno()
+        poll.register(sock.fileno(), select.EPOLLIN)
+
+
+def _greenlet(target: Address) -> None:
+    scheduler = Scheduler()
+
+    def copy(source: Stream, to: Stream) -> None:
+        try:
+            while data := source.receive():
+                to.send(data)
+        except OSError:
+            pass
+        to.finish()
+        source.close()
+
+    def relay(client: Stream) -> None:
+        try:
+            leg = Stream.connect(scheduler, target, 5.0)
+        except (OSError, TimedOutError):
+            client.close()
+            return
+        scheduler.spawn(copy, leg, client)
+        copy(client, leg)
+
+    def take(stream: Stream) -> None:
+        scheduler.spawn(relay, stream)
+
+    listener = Listener(scheduler, ("127.0.0.1", 0), take)
+    _say_port(listener.address)
+    scheduler.run()
--- /dev/null
+++ b/ironmill_lab/hosts.py
@@ -0,0 +1,141 @@
+"""Emulated issuer hosts that speak the line protocol.
+
+One class, ``EmulatedHost``: it takes connections, echoes their lines, answers probes, drains with ``MOVE``
+and counts what it saw. It is fast rather than true to life: nothing it does takes time of its own.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from ironmill.net.listener import Listener
+from ironmill.net.sockets import Stream, TimedOutError
+from ironmill.protocol.lines import END, Lines, LineTooLongError
+from ironmill.scheduler import Scheduler, Task
+
+FIRST_WAIT = 10.0  # for a first line, seconds
+LOAD_A_CONNECTION = 0.0005  # of the reported load
+# From the news of a drain to the last first byte, and what a scheduler's turn may take on a busy machine.
+DRAIN_GRACE = 0.25 + 0.05
+
+
+@dataclass(slots=True)
+class HostCounts:
+    """What an emulated issuer host has seen."""
+
+    opened: int = 0  # connections that were given UP
+    turned_away: int = 0
+    malformed: int = 0
+    lines: int = 0  # echoed
+    moved: int = 0  # sent away by the host itself
+    left: int = 0  # ended by the proxy
+    reset: int = 0
+    probes: int = 0
+    late: int = 0  # an OPEN that came after the drain was told and the grace was over
+
+
+class EmulatedHost:
+    """One issuer host on a port of its own."""
+
+    def __init__(self, scheduler: Scheduler, uid: str, zone: str, seed: int = 1) -> None:
+        self._scheduler = scheduler
+        self._rng = random.Random(f"{uid}-{seed}")
+        self.uid, self.zone = uid, zone
+        self.counts = HostCounts()
+        self.draining_since: float | None = None
+        self._tasks: dict[Stream, Task] = {}
+        self._standing: dict[Stream, None] = {}
+        self._listener = Listener(scheduler, ("127.0.0.1", 0), self._take)
+        self.address = self._listener.address
+
+    @property
+    def standing(self) -> int:
+        """How many connections stand."""
+        return len(self._standing)
+
+    def told(self) -> dict[str, Any]:
+        """Its counts and what stands, by name."""
+        return {"uid": self.uid, "address": self.address, "standing": self.standing, **asdict(self.counts)}
+
+    def drain(self) -> None:
+        """Take nothing new from now on. What stands stays until ``send_away``."""
+        self.draining_since = time.monotonic()
+
+    def send_away(self, over: float) -> None:
+        """Send what stands away with MOVE, evenly over so many seconds. Parks."""
+        streams = list(self._standing)
+        for stream in streams:
+            if stream in self._standing:
+                self.counts.moved += 1
+                del self._standing[stream]
+                self._scheduler.kill(self._tasks.pop(stream))
+                self._scheduler.spawn(self._part, stream)
+            self._scheduler.sleep(over / len(streams))
+
+    def close(self) -> None:
+        """Stop listening. What stands is left to the end of the process."""
+        self._listener.close()
+
+    def _take(self, stream: Stream) -> None:
+        self._tasks[stream] = self._scheduler.spawn(self._serve, stream)
+
+    def _part(self, stream: Stream) -> None:
+        try:
+            stream.send(b"MOVE" + END, 1.0)
+            stream.close_gently(1.0)
+        except (OSError, TimedOutError):
+            stream.close()
+
+    def _serve(self, stream: Stream) -> None:
+        lines = Lines()
+        try:
+            while data := stream.receive(FIRST_WAIT):
+                for line in lines.feed(data):
+                    if self._first(stream, line):
+                        self._echo(stream, lines)
+                        return
+        except (OSError, TimedOutError):
+            self.counts.reset += 1
+        except LineTooLongError:
+            self.counts.malformed += 1
+        finally:
+            self._standing.pop(stream, None)
+            if self._tasks.pop(stream, None) is not None:  # else it is being sent away
+                stream.finish()
+                stream.close()
+
+    def _first(self, stream: Stream, line: bytes) -> bool:
+        """Answer what may open a connection; True if the connection stands from now on."""
+        if line in (b"PING", b"STATS"):
+            self.counts.probes += 1
+            stream.send(b"PONG" + (b" " + self._report() if line == b"STATS" else b"") + END, 1.0)
+        elif not line.startswith(b"OPEN ") or line.count(b" ") != 3:
+            self.counts.malformed += 1
+            stream.send(b"SYNTAX" + END, 1.0)
+        elif self.draining_since is not None:
+            self.counts.turned_away += 1
+            self.counts.late += time.monotonic() - self.draining_since > DRAIN_GRACE
+            stream.send(b"BUSY" + END, 1.0)
+        else:
+            self.counts.opened += 1
+            self._standing[stream] = None
+            stream.send(b"UP " + self.uid.encode() + END, 1.0)
+            return True
+        return False
+
+    def _echo(self, stream: Stream, lines: Lines) -> None:
+        """Send each whole line back, unchanged, until the other side ends."""
+        while data := stream.receive():
+            whole = lines.feed(data)
+            self.counts.lines += len(whole)
+            if whole:
+                stream.send(END.join(whole) + END)
+        self.counts.left += 1
+
+    def _report(self) -> bytes:
+        """A load report, a little noisy as true ones are."""
+        load = self.standing * LOAD_A_CONNECTION
+        return b"x0=%.4f" % min(0.8, 0.05 + load + self._rng.random() * 0.02)
--- /dev/null
+++ b/ironmill_lab/measure.py
@@ -0,0 +1,21 @@
+"""``measure NAME``: finds the measurement and prints what it returns."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from pathlib import Path
+
+import orjson
+
+NAMES = ("core",)
+
+
+def run(name: str, quick: bool, poller: str, program: Path | None) -> int:
+    """Run one measurement; the exit status is 2 where there is none of that name."""
+    if name not in NAMES:
+        print(f"ironmill_lab: no measurement {name!r}; there are: {', '.join(NAMES)}", file=sys.stderr)
+        return 2
+    module = importlib.import_module(f"ironmill_lab.measures.{name}")
+    print(orjson.dumps(module.measure(quick, poller, program)).decode())
+    return 0
--- /dev/null
+++ b/ironmill_lab/processes.py
@@ -0,0 +1,139 @@
+"""Processes of a deployment on loopback: emulated neighbours, and proxies as ``ironmill serve`` runs them."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+import orjson
+import psutil
+
+READY_WAIT = 30.0  # for a process to answer for the first time, seconds
+END_WAIT = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What a process has used so far: CPU in seconds, memory in bytes."""
+
+    user: float
+    system: float
+    resident: int
+
+    @property
+    def cpu(self) -> float:
+        """User and system time together."""
+        return self.user + self.system
+
+
+class Process:
+    """One child process; ended for certain at the end of a ``with`` block."""
+
+    def __init__(
+        self, words: list[str], folder: Path, name: str, env: dict[str, str] | None = None,
+        program: Path | None = None,
+    ) -> None:
+        self.log = folder / f"{name}.log"
+        full = dict(os.environ) | (env or {})
+        if program is not None:
+            full["PYTHONPATH"] = str(program)
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, *words], stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=log, env=full,
+                cwd=program,
+            )
+        self._ps = psutil.Process(self.popen.pid)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.end(signal.SIGKILL)
+
+    def usage(self) -> Usage:
+        """What it has used."""
+        times = self._ps.cpu_times()
+        return Usage(times.user, times.system, self._ps.memory_info().rss)
+
+    def end(self, number: int = signal.SIGTERM) -> int:
+        """Signal it and wait for its end; the exit status."""
+        for pipe in (self.popen.stdin, self.popen.stdout):
+            if pipe is not None:
+                pipe.close()
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+        try:
+            return self.popen.wait(END_WAIT)
+        except subprocess.TimeoutExpired:
+            self.popen.kill()
+            return self.popen.wait()
+
+
+class Neighbours(Process):
+    """The process of ``ironmill_lab.emulate``."""
+
+    def __init__(self, folder: Path, hosts: int) -> None:
+        super().__init__(["-m", "ironmill_lab", "emulate", f"--hosts={hosts}"], folder, "neighbours")
+        self.discovery: tuple[str, int] = tuple(self.ask("told")["discovery"])
+
+    def ask(self, word: str, *args: object) -> dict[str, Any]:
+        """Give a command and wait for the answer, which tells what all issuer hosts have seen."""
+        assert self.popen.stdin is not None
+        assert self.popen.stdout is not None
+        self.popen.stdin.write(orjson.dumps([word, *args]) + b"\n")
+        self.popen.stdin.flush()
+        line = self.popen.stdout.readline()
+        if not line:
+            raise RuntimeError(f"the emulated neighbours ended: {self.log.read_text()[-500:]}")
+        found: dict[str, Any] = orjson.loads(line)
+        return found
+
+
+class ProxyProcess(Process):
+    """One proxy, started; up once ``wait_ready`` returns."""
+
+    def __init__(
+        self, config: Path, folder: Path, program: Path | None = None, more: Sequence[str] = ()
+    ) -> None:
+        value = orjson.loads(config.read_bytes())
+        host, _, port = value["listen"].rpartition(":")
+        self.address = (host, int(port))
+        words = ["-m", "ironmill", "serve", f"--config={config}", *more]
+        super().__init__(words, folder, value["name"], program=program)
+
+    def wait_ready(self) -> None:
+        """Wait until it answers PING."""
+        wait_for_answer(self, self.address, b"PING\r\n")
+
+
+def wait_for_answer(process: Process, address: tuple[str, int], question: bytes) -> None:
+    """Wait until something at the address answers; RuntimeError if the process ends or says nothing."""
+    until = time.monotonic() + READY_WAIT
+    while time.monotonic() < until and process.popen.poll() is None:
+        try:
+            with socket.create_connection(address, 1.0) as sock:
+                sock.sendall(question)
+                if sock.recv(64):
+                    return
+        except OSError:
+            time.sleep(0.02)
+    raise RuntimeError(f"not ready: {process.log.read_text()[-500:]}")
+
+
+def free_port() -> int:
+    """A port of 127.0.0.1 that nothing listens at just now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
--- /dev/null
+++ b/tests/test_delay.py
@@ -0,0 +1,78 @@
+"""The delay meter against a plain model that searches all connections, and what it holds of one client."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from ironmill.delay import PERIOD, TIMED_MOST, DelayMeter
+from ironmill.timers import TimerQueue
+
+
+class MeterModel(RuleBasedStateMachine):
+    """Lines sent and answered on some connections; the delay is the same as by a search of everything."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        timers = TimerQueue(lambda: self.now)
+        self.meter = DelayMeter(timers, 0.05, lambda *_: None, lambda _: None, clock=lambda: self.now)
+        self.sent: dict[str, deque[float]] = {}
+        self.samples: list[tuple[float, float]] = []
+
+    @rule(name=st.sampled_from("abc"))
+    def add(self, name: str) -> None:
+        if name not in self.sent:
+            self.sent[name] = deque()
+            self.meter.add(name)
+
+    @rule(name=st.sampled_from("abc"))
+    def drop(self, name: str) -> None:
+        self.sent.pop(name, None)
+        self.meter.drop(name)
+        if not self.sent:
+            self.samples.clear()
+
+    @rule(name=st.sampled_from("abc"), count=st.integers(0, 3))
+    def send(self, name: str, count: int) -> None:
+        if name in self.sent:
+            self.sent[name].extend([self.now] * count)
+        self.meter.sent(name, count)
+
+    @rule(name=st.sampled_from("abc"), count=st.integers(0, 3))
+    def answer(self, name: str, count: int) -> None:
+        for _ in range(min(count, len(self.sent.get(name, ())))):
+            self.samples.append((self.now, self.now - self.sent[name].popleft()))
+        self.meter.answered(name, count)
+
+    @rule(span=st.sampled_from([0.01, 0.3, 1.0]))
+    def step(self, span: float) -> None:
+        self.now += span
+        recent = [delay for at, delay in self.samples if at >= self.now - PERIOD]
+        mean = sum(recent) / max(1, len(recent))
+        waiting = max((self.now - lines[0] for lines in self.sent.values() if lines), default=0.0)
+        assert self.meter.delay() == pytest.approx(max(mean, waiting))
+
+
+TestMeterModel = MeterModel.TestCase
+
+
+def test_lines_that_are_never_answered_are_timed_up_to_a_bound() -> None:
+    """Guards memory against a client that sends empty lines at full speed."""
+    now = 0.0
+    meter = DelayMeter(TimerQueue(lambda: now), 0.05, lambda *_: None, lambda _: None, clock=lambda: now)
+    meter.add("a")
+    for _ in range(100):
+        meter.sent("a", 1000)
+    lines = meter._open["a"]
+    assert (len(lines.sent), lines.untimed) == (TIMED_MOST, 100_000 - TIMED_MOST)
+    assert len(meter._sent) == TIMED_MOST
+    now = 1.0
+    meter.answered("a", TIMED_MOST + 10)
+    # What was counted alone is still owed: one of it is watched for silence.
+    assert (len(lines.sent), lines.untimed) == (1, 100_000 - TIMED_MOST - 11)
+    meter.answered("a", 100_000)
+    assert (len(lines.sent), lines.untimed) == (0, 0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import itertools
-import sched
+import math
 import time
-from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -16,6 +15,7 @@
 from ironmill.delay import SILENT_AFTER, DelayMeter
 from ironmill.gateway import ANSWER_OVERDUE, Gateway, Leg
 from ironmill.routing_table import Listed, Routing, RoutingTable, parse_routing
+from ironmill.timers import TimerQueue
 from stonegap.balance import Balancer
 from stonegap.interface import Abandoned, Carried, Ended, Event, ListKind, Outcome, Stage
 from stonegap.settings import MalformedError, Tree
@@ -27,22 +27,14 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.now = 1000.0
-        self._timers = sched.scheduler(lambda: self.now, lambda _: None)
+        self._timers = TimerQueue(lambda: self.now)
+        self.call_later, self.cancel = self._timers.call_later, self._timers.cancel
         monkeypatch.setattr(time, "monotonic", lambda: self.now)
 
-    def call_later(self, delay: float, action: Callable[..., object], *args: Any) -> sched.Event:
-        return self._timers.enterabs(self.now + delay, 0, action, args)
-
-    def cancel(self, timer: sched.Event | None) -> None:
-        if timer in self._timers.queue:
-            assert timer is not None
-            self._timers.cancel(timer)
-
     def run(self, span: float) -> None:
         end = self.now + span
-        while self._timers.queue and self._timers.queue[0].time <= end:
-            self.now = max(self.now, self._timers.queue[0].time)
-            self._timers.run(blocking=False)
+        while (left := self._timers.run()) is not None and self.now + left <= end:
+            self.now = max(math.nextafter(self.now, math.inf), self.now + left)
         self.now = end
 
 
