--- a/ironmill/cli.py
+++ b/ironmill/cli.py
@@ -1,37 +1,63 @@
 """A proxy for long-lived TCP connections.
 
 Usage:
-  ironmill serve [--config=FILE] [--poller=NAME]
-  ironmill check-config [--config=FILE]
+  ironmill serve [--config=FILE] [--settings=FILE] [--poller=NAME]
+  ironmill check-config [--config=FILE] [--settings=FILE]
+  ironmill keys new KID --store=DIR [--algorithm=NAME]
+  ironmill keys list --store=DIR
+  ironmill keys promote KID --store=DIR [--overlap=SPAN]
+  ironmill keys retire KID --store=DIR [--after=SPAN]
+  ironmill token issue SUBJECT --store=DIR --audience=NAME --issuer=NAME [--lifetime=SPAN] [--kid=KID]
+  ironmill token inspect TOKEN
+  ironmill caller explain TOKEN --settings=FILE [--config=FILE]
   ironmill version
   ironmill (-h | --help)
 
 Options:
-  --config=FILE  The configuration as JSON; without it, the file that PROXY_CONFIG names.
-  --poller=NAME  What waits on the sockets: epoll, or poll, which costs more the more
-                 connections stand [default: epoll].
-  -h --help      Show this text.
+  --config=FILE     The configuration as JSON; without it, the file that PROXY_CONFIG names.
+  --settings=FILE   The operators' settings as XML; without it, none.
+  --poller=NAME     What waits on the sockets: epoll, or poll, which costs more the more
+                    connections stand [default: epoll].
+  --store=DIR       The folder of the key ring, and of private keys where tokens are issued.
+  --algorithm=NAME  EdDSA or ES256 [default: EdDSA].
+  --overlap=SPAN    How long the key that signed until now is accepted [default: 1h].
+  --after=SPAN      When the key retires [default: 0s].
+  --audience=NAME   Whom the token is for.
+  --issuer=NAME     Who says so.
+  --lifetime=SPAN   How long the token is good [default: 1h].
+  --kid=KID         The key that signs, instead of the ring's signing one.
+  -h --help         Show this text.
 
 serve runs one proxy in the foreground, check-config says whether serve would accept the
-configuration. A configuration that is not fit for use ends either with status 2.
+configuration. A configuration that is not fit for use ends either with status 2. A TOKEN
+that is - is read from standard input, which keeps it out of the list of processes.
 """
 
 from __future__ import annotations
 
-import logging
 import os
+import re
 import sys
+import time
 from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
+import orjson
 from docopt import docopt
 
-from ironmill import __version__
+from ironmill import __version__, logs
 from ironmill.config import Config, load
 from ironmill.net.proxy import Proxy
 from ironmill.net.signals import Signals
 from ironmill.scheduler import POLLERS
 from stonegap.settings import MalformedError
 
+if TYPE_CHECKING:
+    from ironmill.operator import Operator
+
+_SPANS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
+
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the sub-command; the exit status."""
@@ -43,41 +69,109 @@
         # Before the file is read: by default SIGHUP would end the process.
         signals = Signals()
         try:
-            return serve(words["--config"], signals, words["--poller"])
+            return serve(words["--config"], words["--settings"], signals, words["--poller"])
         finally:
             signals.close()
-    config = read(os.environ, words["--config"])
-    if config is None:
+    if words["keys"] or words["token"]:
+        return _keys_or_token(words)
+    read_all = read(os.environ, words["--config"], words["--settings"])
+    if read_all is None:
         return 2
+    config, operator = read_all
+    if words["caller"]:
+        from ironmill.commands.caller import explain
+
+        assert operator is not None  # the usage asks for settings
+        for line in explain(operator, _token(words), time.time()):
+            print(line)
+        return 0
     print(f"ironmill: the configuration of {config.name} is fit for use")
+    if operator is not None:
+        print(f"ironmill: the settings in {operator.settings.path} are fit for use")
+    return 0
+
+
+def _keys_or_token(words: Mapping[str, Any]) -> int:
+    from ironmill.commands import keys  # here, for a proxy needs none of it
+
+    try:
+        store = keys.KeyStore(Path(words["--store"] or "."))
+        if words["new"]:
+            key = store.new(words["KID"], words["--algorithm"])
+            print(f"{key.kid}: coming; private part in {store.private_path(key.kid)}")
+        elif words["list"]:
+            for key in store.ring():
+                print(keys.describe(key, time.time()))
+        elif words["promote"]:
+            keys.promote(store, words["KID"], _span(words["--overlap"]))
+        elif words["retire"]:
+            keys.retire(store, words["KID"], _span(words["--after"]))
+        elif words["issue"]:
+            lifetime = _span(words["--lifetime"])
+            token = keys.issue(
+                store, words["SUBJECT"], words["--audience"], words["--issuer"], lifetime, words["--kid"]
+            )
+            print(token.decode())
+        else:
+            print(orjson.dumps(keys.inspect(_token(words)), option=orjson.OPT_INDENT_2).decode())
+    except keys.CommandError as error:
+        print(f"ironmill: {error}", file=sys.stderr)
+        return 2
     return 0
 
 
-def read(env: Mapping[str, str], path: str | None) -> Config | None:
-    """The configuration, or one line on what is wrong with it."""
+def _token(words: Mapping[str, Any]) -> bytes:
+    text: str = words["TOKEN"]
+    return (sys.stdin.readline() if text == "-" else text).strip().encode()
+
+
+def _span(text: str) -> float:
+    from ironmill.commands.keys import CommandError
+
+    found = re.fullmatch(r"([0-9]{1,9}(?:\.[0-9]{1,6})?)(ms|s|m|h|d)", text)
+    if found is None:
+        raise CommandError(f"{text!r} is no span; it is a number and ms, s, m, h or d, as in 90s")
+    return float(found[1]) * _SPANS[found[2]]
+
+
+def read(
+    env: Mapping[str, str], path: str | None, settings: str | None
+) -> tuple[Config, Operator | None] | None:
+    """The configuration and the settings, or one line on what is wrong with them."""
     try:
-        return load(env, path)
+        config = load(env, path)
+        return config, operator_of(config, settings)
     except MalformedError as error:
         print(f"ironmill: {error}", file=sys.stderr)
         return None
 
 
-def serve(path: str | None, signals: Signals, poller: str) -> int:
+def operator_of(config: Config, settings: str | None) -> Operator | None:
+    """What the settings file says, None where none is named; MalformedError if it is not fit for use."""
+    if settings is None:
+        return None
+    from ironmill.operator import read_operator  # here, for what is off is not imported
+
+    return read_operator(settings, config.wait_limits)
+
+
+def serve(path: str | None, settings: str | None, signals: Signals, poller: str) -> int:
     """Run one proxy until it is told to end."""
     if poller not in POLLERS:
         print(f"ironmill: --poller is one of {', '.join(POLLERS)}, not {poller!r}", file=sys.stderr)
         return 2
-    config = read(os.environ, path)
-    if config is None:
+    read_all = read(os.environ, path, settings)
+    if read_all is None:
         return 2
-    logging.basicConfig(
-        stream=sys.stderr, level=logging.INFO, format=f"%(asctime)s.%(msecs)03d {config.name} %(message)s",
-        datefmt="%H:%M:%S",
-    )
+    config, operator = read_all
+    logs.set_up(config.name, None if operator is None else operator.settings.log)
     # At SIGHUP the file's address of discovery holds: what the variable named at the start is gone.
     later = {name: value for name, value in os.environ.items() if name != "PROXY_DISCOVERY"}
     try:
-        proxy = Proxy(config, signals, lambda: load(later, path), poller)
+        proxy = Proxy(
+            config, signals, lambda: load(later, path), poller, operator,
+            lambda new: operator_of(new, settings),
+        )
     except OSError as error:
         print(f"ironmill: listen: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/ironmill/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' commands that are not the service itself."""
--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -12,7 +12,7 @@
 import math
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ironmill.admission import Admission, Ticket
 from ironmill.config import Config
@@ -30,11 +30,15 @@
     Onward,
     Opened,
     SendingEnded,
+    Shown,
 )
 from ironmill.protocol.issuer_host import Relayed
 from ironmill.scheduler import Scheduler, Task
 from stonegap.interface import Outcome
 
+if TYPE_CHECKING:
+    from ironmill.callers import Callers
+
 # From the accept to the first line's end, however the bytes drip; after an answered PING it begins anew.
 FIRST_LINE_WAIT = 2.0
 GENTLE = 1.0  # for the other side to take its last line and end as well
@@ -85,12 +89,13 @@
 
     __slots__ = (
         "_admission", "_authorisation", "_client_ended", "_config", "_driver", "_first", "_first_by",
-        "_gateway", "_leg", "_leg_task", "_move_wanted", "_reader", "_scheduler", "_side", "_stream",
-        "_ticket", "_writing",
+        "_gateway", "_guest", "_leg", "_leg_task", "_move_wanted", "_reader", "_scheduler", "_side",
+        "_stream", "_ticket", "_writing",
     )
 
     def __init__(
-        self, scheduler: Scheduler, gateway: Gateway, config: Config, admission: Admission, stream: Stream
+        self, scheduler: Scheduler, gateway: Gateway, config: Config, admission: Admission, stream: Stream,
+        callers: Callers | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._gateway = gateway
@@ -98,7 +103,9 @@
         self._admission = admission
         self._ticket: Ticket | None = None
         self._stream = stream
-        self._side = ClientSide()
+        self._side = ClientSide(may_show=callers is not None)
+        # None where it does not matter who calls.
+        self._guest = None if callers is None else callers.guest(self, stream.peer())
         self._first: FirstLine | None = None
         self._authorisation: Authorisation | None = None
         self._reader: Task | None = None
@@ -117,8 +124,7 @@
             self._stream.send_now(busy(RETRY_FULL))
             self._stream.close()
             return
-        ticket = self._ticket
-        self._stream.on_close = lambda: self._admission.gone(ticket)
+        self._stream.on_close = self._closed
         self._reader = self._scheduler.spawn(self.guarded, self._read)
 
     def guarded(self, function: Callable[..., object], *args: object) -> None:
@@ -133,6 +139,13 @@
                 self._gateway.left(self._authorisation)
             self._finish(b"" if standing else b"ERR\r\n")
 
+    def _closed(self) -> None:
+        """The client's socket is closed: nothing of it counts any more."""
+        if self._ticket is not None:
+            self._admission.gone(self._ticket)
+        if self._guest is not None:
+            self._guest.left()
+
     # From the client
 
     def _evicted(self) -> None:
@@ -170,9 +183,10 @@
             if self._side.state is ClientState.OVER and self._authorisation is None and self._first is None:
                 self._finish(b"")  # it left without a word
 
-    def _turn_away(self, reason: str) -> None:
+    def _turn_away(self, reason: str | None) -> None:
         """A client that does not keep to the protocol gets one plain answer and an end."""
-        self._admission.complain(reason)
+        if reason is not None:
+            self._admission.complain(reason)
         self._side.close()
         if self._authorisation is not None:
             self._gateway.left(self._authorisation)
@@ -183,6 +197,8 @@
             case Asked():
                 self._first_by = time.monotonic() + FIRST_LINE_WAIT
                 self._stream.send(b"PONG\r\n", GENTLE)
+            case Shown():
+                self._show(event.token)
             case Opened():
                 self._open(event.first)
             case Malformed():
@@ -198,13 +214,31 @@
             case Left():
                 self._client_gone(reset=False)
 
+    def _show(self, token: bytes) -> None:
+        if self._guest is not None and self._side.state is not ClientState.OVER:
+            self._go_on(self._guest.show(token))
+
+    def _go_on(self, refused: float | None) -> bool:
+        """False if the client was turned away: it may come again so many seconds later, or never."""
+        if refused is None:
+            return True
+        if math.isinf(refused):
+            self._turn_away(None)  # it is logged and counted by its kind, and the client is not told
+        else:
+            self._finish(busy(refused))
+        return False
+
     def _open(self, first: FirstLine) -> None:
+        if self._side.state is ClientState.OVER:
+            return  # its credential was refused, and its first line came in the same bytes
         came_at = self._gateway.now()
         ticket = self._ticket
         assert ticket is not None
         if not self._gateway.knows(first.fields["c"]):
             self._turn_away("a class that does not exist")
             return
+        if self._guest is not None and not self._go_on(self._guest.ask(first.fields["c"])):
+            return
         if not self._admission.claim(ticket, first.id):
             self._turn_away("the id of an open connection")
             return
@@ -217,9 +251,12 @@
             return
         wait = int(first.fields["d"]) / 1000.0 if "d" in first.fields else None
         self._authorisation = self._gateway.authorise(
-            self, first.fields["c"], wait, came_at, **request_fields(first)
+            self, first.fields["c"], wait, came_at, **request_fields(first), **self._caller_fields()
         )
 
+    def _caller_fields(self) -> dict[str, str]:
+        return {} if self._guest is None else {"tenant": self._guest.tenant}
+
     def _onward(self, onward: Onward) -> None:
         """Bytes to the issuer host. Reading waits meanwhile, so no more than a chunk is ever held."""
         driver, leg = self._driver, self._leg
@@ -330,12 +367,16 @@
         if self._leg is None:
             host = self._gateway.issuer_host(first.fields["at"])
             assert host is not None
-            self._leg = self._gateway.carry(self, host, first.fields["c"], **request_fields(first))
+            self._leg = self._gateway.carry(
+                self, host, first.fields["c"], **request_fields(first), **self._caller_fields()
+            )
             self._authorisation = self._leg.authorisation
         elif not self._gateway.up(self._leg):
             driver.close()
             return False
         self._first = None
+        if self._guest is not None:
+            self._guest.stands()
         early = self._side.stand()
         if not self._write(data):
             return False
--- /dev/null
+++ b/ironmill/net/keywatch.py
@@ -0,0 +1,53 @@
+"""Watches the key ring's file, so that a rotation needs no signal."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from ironmill.identity.keyring import KeyRing
+from ironmill.logs import EventLog
+from ironmill.operator import read_ring
+from ironmill.scheduler import Timers
+from stonegap.settings import MalformedError
+
+LOOK = 0.25  # seconds between two looks at the file
+
+log = EventLog("ironmill.keys")
+
+
+class KeyWatch:
+    """Reads the ring anew whenever its file has changed; one that is not fit for use changes nothing."""
+
+    def __init__(self, timers: Timers, path: str, take: Callable[[KeyRing], None]) -> None:
+        self._timers = timers
+        self._take = take
+        self.path = path
+        self._seen = self._stamp()
+
+    def start(self) -> None:
+        """Look from now on."""
+        self._timers.call_later(LOOK, self.look)
+
+    def look(self) -> None:
+        """One look, and another later."""
+        self._timers.call_later(LOOK, self.look)
+        stamp = self._stamp()
+        if stamp is None or stamp == self._seen:
+            return
+        self._seen = stamp
+        try:
+            ring = read_ring(self.path)
+        except MalformedError as error:
+            # Guards service against a file that is half written: the next look sees it whole.
+            log.error("key ring refused", reason=str(error))
+            return
+        log.info("key ring taken", keys=sum(1 for _ in ring))
+        self._take(ring)
+
+    def _stamp(self) -> tuple[int, int, int] | None:
+        try:
+            found = Path(self.path).stat()
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size, found.st_ino
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -6,7 +6,9 @@
 import resource
 import signal
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
+from ironmill import logs
 from ironmill.admission import Admission
 from ironmill.config import Config
 from ironmill.garbage import Collector
@@ -15,12 +17,17 @@
 from ironmill.net.discovery import Discovery
 from ironmill.net.listener import Listener
 from ironmill.net.probe import ProbeDriver
-from ironmill.net.reload import Reload
+from ironmill.net.reload import Reload, no_operator
 from ironmill.net.shutdown import Shutdown
 from ironmill.net.signals import Signals
 from ironmill.net.sockets import Stream
 from ironmill.scheduler import Scheduler
 
+if TYPE_CHECKING:  # what is off is not imported
+    from ironmill.callers import Callers
+    from ironmill.identity.keyring import KeyRing
+    from ironmill.operator import Operator
+
 log = logging.getLogger("ironmill")
 
 
@@ -28,7 +35,8 @@
     """Listens once it is made; serves until it is told to end."""
 
     def __init__(
-        self, config: Config, signals: Signals, read_again: Callable[[], Config], poller: str = "epoll"
+        self, config: Config, signals: Signals, read_again: Callable[[], Config], poller: str = "epoll",
+        operator: Operator | None = None, read_operator: Callable[[Config], Operator | None] = no_operator,
     ) -> None:
         self._config = config
         self._signals = signals
@@ -41,7 +49,18 @@
         self.gateway.prober = ProbeDriver(self.scheduler, config.connect_timeout, self.gateway.probed)
         self.discovery = Discovery(self.scheduler, config.discovery, self.gateway.routing)
         self.admission = Admission(config.sockets)
-        self.reload = Reload(config, read_again, self.discovery.watch_at)
+        self.callers: Callers | None = None
+        self._operator = operator
+        if operator is not None and operator.settings.identity is not None and operator.ring is not None:
+            from ironmill.callers import Callers
+            from ironmill.net.keywatch import KeyWatch
+
+            self.callers = Callers(operator.settings.identity, operator.ring, self.scheduler)
+            self._watch = KeyWatch(self.scheduler, operator.settings.identity.keys, self._take_ring)
+            self._watch.start()
+        self.reload = Reload(
+            config, read_again, self.discovery.watch_at, read_operator, self._take_operator
+        )
         self.listener = Listener(self.scheduler, config.listen, self._take)
 
     def serve(self) -> None:
@@ -58,4 +77,24 @@
         self.scheduler.run()
 
     def _take(self, stream: Stream) -> None:
-        ClientDriver(self.scheduler, self.gateway, self._config, self.admission, stream).start()
+        ClientDriver(
+            self.scheduler, self.gateway, self._config, self.admission, stream, self.callers
+        ).start()
+
+    def _take_ring(self, ring: KeyRing) -> None:
+        if self.callers is not None:
+            self.callers.replace(self.callers.gate.identity, ring)
+
+    def _take_operator(self, operator: Operator) -> None:
+        """Other settings: what they say of callers holds from now on, for whoever shows a credential next."""
+        old, self._operator = self._operator, operator
+        if old is None:
+            return
+        if old.settings.log != operator.settings.log:
+            logs.set_up(self._config.name, operator.settings.log)
+        identity = operator.settings.identity
+        if (identity is None) is not (self.callers is None):
+            log.warning("reload: takes a restart: identity was not there before, or is there no more")
+        elif identity is not None and operator.ring is not None and self.callers is not None:
+            self._watch.path = identity.keys
+            self.callers.replace(identity, operator.ring)
--- a/ironmill/net/reload.py
+++ b/ironmill/net/reload.py
@@ -4,10 +4,14 @@
 
 import logging
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from ironmill.config import Address, Config
 from stonegap.settings import MalformedError
 
+if TYPE_CHECKING:
+    from ironmill.operator import Operator
+
 # Nothing to log: each start has its own, and the list that was known then is old news.
 _PER_START = ("seed", "known", "discovery")
 _NAMED = 8  # changed keys in one line; guards the log against a file that has nothing in common
@@ -15,20 +19,34 @@
 log = logging.getLogger("ironmill.reload")
 
 
+def no_operator(_: Config) -> Operator | None:
+    """No settings were named at the start."""
+    return None
+
+
+def _ignore(_: Operator) -> None:
+    """Nobody takes settings."""
+
+
 class Reload:
     """Takes in a new configuration file; what was told with the old one goes on otherwise."""
 
     def __init__(
-        self, config: Config, read: Callable[[], Config], watch_at: Callable[[Address], object]
+        self, config: Config, read: Callable[[], Config], watch_at: Callable[[Address], object],
+        read_operator: Callable[[Config], Operator | None] = no_operator,
+        take: Callable[[Operator], None] = _ignore,
     ) -> None:
         self._config = config
         self._read = read
         self._watch_at = watch_at
+        self._read_operator = read_operator
+        self._take = take
 
     def run(self) -> None:
-        """Read the file once more."""
+        """Read the files once more: all of them are taken, or none."""
         try:
             new = self._read()
+            operator = self._read_operator(new)
         except MalformedError as error:
             # Guards service against a bad file: the old configuration is still fit for use.
             log.error("reload: %s; the old configuration goes on", error)
@@ -43,3 +61,6 @@
             log.warning("reload: takes a restart: %s%s", ", ".join(changed[:_NAMED]), more)
         log.info("reload: discovery is at %s:%d", *new.discovery)
         self._watch_at(new.discovery)
+        if operator is not None:
+            log.info("reload: settings taken from %s", operator.settings.path)
+            self._take(operator)
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -44,10 +44,17 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     @classmethod
-    def connect(cls, scheduler: Scheduler, address: tuple[str, int], timeout: float) -> Stream:
-        """A new connection; OSError if it is refused, TimedOutError if it does not come up in time."""
+    def connect(
+        cls, scheduler: Scheduler, address: tuple[str, int], timeout: float, source: str = ""
+    ) -> Stream:
+        """A new connection, from the address ``source`` if one is named.
+
+        OSError if it is refused, TimedOutError if it does not come up in time, in seconds.
+        """
         stream = cls(scheduler, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         try:
+            if source:
+                stream._sock.bind((source, 0))
             code = stream._sock.connect_ex(address)
             if code == errno.EINPROGRESS:
                 if not scheduler.wait(stream._sock.fileno(), WRITE, timeout):
@@ -60,6 +67,14 @@
             raise
         return stream
 
+    def peer(self) -> str:
+        """The address of the other side; empty where it is gone or has none."""
+        try:
+            name = self._sock.getpeername()
+        except OSError:
+            return ""
+        return str(name[0]) if isinstance(name, tuple) else ""
+
     def receive(self, timeout: float | None = None) -> bytes:
         """Some bytes, none at the end; TimedOutError after the time-out, in seconds.
 
--- /dev/null
+++ b/ironmill/operator.py
@@ -0,0 +1,46 @@
+"""What the operators' files say, read together: the settings and the key ring that they name."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from pathlib import Path
+
+from ironmill.identity.keyring import KeyRing, RingError, parse_ring
+from ironmill.identity.rules import Identity
+from ironmill.settings.model import OperatorSettings, SettingsError
+from stonegap.settings import MalformedError
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """One reading of all files, which belongs together."""
+
+    settings: OperatorSettings
+    ring: KeyRing | None = None  # there if the settings hold an identity
+
+
+def read_operator(path: str, classes: Collection[str]) -> Operator:
+    """The settings file and what it names; MalformedError, one line, if any of it is not fit for use."""
+    try:
+        from ironmill.settings.load import load_settings  # here, for what is off is not imported
+    except ImportError as error:
+        raise MalformedError(
+            f"settings: {error.name} is not installed; the package group 'hosted' brings it"
+        ) from None
+    try:
+        settings = load_settings(path, classes)
+    except SettingsError as error:
+        raise MalformedError(str(error)) from None
+    identity: Identity | None = settings.identity
+    return Operator(settings, None if identity is None else read_ring(identity.keys))
+
+
+def read_ring(path: str) -> KeyRing:
+    """The key ring in the file; MalformedError, one line, if it is not fit for use."""
+    try:
+        return parse_ring(Path(path).read_bytes())
+    except OSError as error:
+        raise MalformedError(f"{path}: the key ring cannot be read: {error.strerror}") from None
+    except RingError as error:
+        raise MalformedError(f"{path}: the key ring is not fit for use: {error}") from None
--- a/ironmill/protocol/client.py
+++ b/ironmill/protocol/client.py
@@ -63,6 +63,13 @@
     """The front asks whether the proxy is there."""
 
 
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """The client shows a credential, which goes no further."""
+
+    token: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Opened:
     """The client asks for a connection."""
@@ -95,7 +102,7 @@
     """The client will send no more on its standing connection."""
 
 
-ClientEvent: TypeAlias = Asked | Opened | Malformed | Onward | Left | SendingEnded
+ClientEvent: TypeAlias = Asked | Shown | Opened | Malformed | Onward | Left | SendingEnded
 
 
 class ClientState(Enum):
@@ -110,10 +117,12 @@
 class ClientSide:
     """What a client has sent and is owed."""
 
-    __slots__ = ("_early", "_lines", "_may_be_early", "_pings", "state")
+    __slots__ = ("_early", "_lines", "_may_be_early", "_may_show", "_pings", "state")
 
-    def __init__(self) -> None:
+    def __init__(self, may_show: bool = False) -> None:
+        """``may_show``: one line ``AUTH TOKEN`` may come before the first line."""
         self.state = ClientState.FIRST
+        self._may_show = may_show
         self._lines = Lines()
         self._early = b""
         self._may_be_early = False
@@ -145,6 +154,10 @@
                     return [self._malformed("one PING after another")]
                 events.append(Asked())
                 continue
+            if self._may_show and line.startswith(b"AUTH "):
+                self._may_show = False  # a second one is malformed
+                events.append(Shown(line[5:]))
+                continue
             try:
                 first = parse_first_line(line)
             except MalformedLineError as error:
--- a/ironmill/scheduler.py
+++ b/ironmill/scheduler.py
@@ -178,7 +178,8 @@
     # The hub
 
     def run(self) -> None:
-        """Run until ``stop``."""
+        """Run until ``stop``. May be called again after that, with what then still waits."""
+        self._stopped = False
         ready, readers, writers = self._ready, self._readers, self._writers
         while not self._stopped:
             for _ in range(len(ready)):
--- /dev/null
+++ b/ironmill/settings/load.py
@@ -0,0 +1,200 @@
+"""Reads a settings file: well-formed, by the schema, and with a meaning.
+
+lxml does the first two. It resolves no entities, fetches nothing, and the file's size is bounded.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Collection
+from importlib import resources
+from pathlib import Path
+
+from lxml import etree
+
+from ironmill.identity.rules import Caller, CallerRule, Identity, Rights, TokenMatch
+from ironmill.settings.model import LogSettings, OperatorSettings, SettingsError
+
+SIZE_MOST = 1 << 20
+NAMESPACE = "urn:ironmill:settings:1"
+_UNITS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
+# What would be right, where the schema's own message shows only a regular expression.
+_HINTS = {
+    "duration": "a duration has a unit, as in 250ms, 30s or 2m",
+    "rate": "a rate is a number and its unit, as in 50/s or 10/m",
+    "standing": "it is keep, or move-within= and a duration, as in move-within=30s",
+    "name": "a name begins with a letter or digit and goes on with those or any of . _ : @ -",
+    "pattern": "it is 1 to 255 printable characters without blanks",
+}
+
+
+def load_settings(path: str, classes: Collection[str]) -> OperatorSettings:
+    """The settings in the file; SettingsError, one line, if they are not fit for use.
+
+    ``classes`` are those that the platform's settings name.
+    """
+    root = _parse(path)
+    return _Builder(path, frozenset(classes)).build(root)
+
+
+def duration(text: str) -> float:
+    """Seconds, from a number and its unit: ms, s, m, h or d."""
+    unit = text.lstrip("0123456789.")
+    return float(text.removesuffix(unit)) * _UNITS[unit]
+
+
+def rate(text: str) -> float:
+    """Events a second, from a number and the span it is for: /s, /m or /h."""
+    number, _, unit = text.partition("/")
+    return float(number) / _UNITS[unit]
+
+
+def _parse(path: str) -> etree._Element:
+    try:
+        with Path(path).open("rb") as file:
+            data = file.read(SIZE_MOST + 1)
+    except OSError as error:
+        raise SettingsError(path, 0, f"cannot be read: {error.strerror}") from None
+    if len(data) > SIZE_MOST:  # guards memory against a file that is something else
+        raise SettingsError(path, 0, f"is larger than {SIZE_MOST} bytes; settings are at most that large")
+    # Guards against entities that grow without end, or that name files and hosts.
+    parser = etree.XMLParser(resolve_entities=False, no_network=True, load_dtd=False, huge_tree=False)
+    try:
+        root = etree.fromstring(data, parser)
+    except etree.XMLSyntaxError as error:
+        raise SettingsError(path, error.lineno or 0, f"is not XML: {error.msg}") from None
+    if root.getroottree().docinfo.doctype:
+        raise SettingsError(path, 1, "has a DOCTYPE; settings have none, and no entities")
+    with resources.files(__package__).joinpath("settings.xsd").open("rb") as file:
+        schema = etree.XMLSchema(etree.parse(file), attribute_defaults=True)
+    if not schema.validate(root):
+        first = schema.error_log[0]
+        raise SettingsError(path, first.line, _plain(first.message))
+    return root
+
+
+def _plain(message: str) -> str:
+    """The schema's message without namespaces, with a hint in place of a regular expression."""
+    message = message.replace(f"{{{NAMESPACE}}}", "")
+    message = re.sub(r"\[facet '[a-zA-Z]+'\] ", "", message)
+    kind = re.search(r"not a valid value of the atomic type '(\w+)'", message)
+    place = r"^(Element '[^']+'(?:, attribute '[^']+')?)"
+    pattern = re.search(place + r": The value '([^']*)' is not accepted", message)
+    if pattern is not None:
+        for name, hint in _HINTS.items():
+            if _SHAPES[name] in message:
+                return f"{pattern[1]}: {pattern[2]!r} is not right; {hint}"
+    if kind is not None and kind[1] in _HINTS:
+        return f"{message} {_HINTS[kind[1]]}"
+    return message
+
+
+_SHAPES = {
+    "duration": "'[0-9]{1,9}(\\.[0-9]{1,6})?(ms|s|m|h|d)'",
+    "rate": "'[0-9]{1,9}(\\.[0-9]{1,6})?/(s|m|h)'",
+    "standing": "'keep|move-within=",
+    "name": "'[A-Za-z0-9][A-Za-z0-9._:@-]{0,127}'",
+    "pattern": "'[!-~]{1,255}'",
+}
+
+
+def _text(element: etree._Element, name: str) -> str:
+    return str(element.attrib[name])
+
+
+def _line(element: etree._Element) -> int:
+    line: object = element.sourceline
+    return line if isinstance(line, int) else 0
+
+
+class _Builder:
+    """Turns a valid tree into values, and checks what a schema cannot say."""
+
+    def __init__(self, path: str, classes: frozenset[str]) -> None:
+        self._path = path
+        self._classes = classes
+
+    def build(self, root: etree._Element) -> OperatorSettings:
+        log, identity = self._child(root, "log"), self._child(root, "identity")
+        return OperatorSettings(
+            path=self._path,
+            log=None if log is None else LogSettings(_text(log, "form"), _text(log, "level")),
+            identity=None if identity is None else self._identity(identity),
+        )
+
+    def _identity(self, element: etree._Element) -> Identity:
+        strangers = self._child(element, "strangers")
+        stranger = None
+        if strangers is not None:
+            stranger = Caller("stranger", _text(strangers, "tenant"), self._rights(strangers))
+        rules: list[CallerRule] = []
+        callers: dict[str, tuple[Caller, int]] = {}
+        for child in self._children(element, "caller"):
+            caller = Caller(_text(child, "name"), _text(child, "tenant"), self._rights(child))
+            line = _line(child)
+            if caller.name in callers:
+                raise self._error(
+                    child, f"caller {caller.name!r} is named on line {callers[caller.name][1]} already; "
+                    "one caller may have several token elements"
+                )
+            callers[caller.name] = caller, line
+            tokens = tuple(
+                TokenMatch(_text(it, "issuer"), _text(it, "audience"), _text(it, "subject"))
+                for it in self._children(child, "token")
+            )
+            rules.append(CallerRule(caller, tokens, line))
+        if "stranger" in callers:
+            raise SettingsError(
+                self._path, callers["stranger"][1],
+                "the name stranger is kept for those without a credential; name the caller otherwise",
+            )
+        if not rules and stranger is None:
+            raise self._error(element, "nobody could be served; name a caller, or strangers")
+        standing = _text(element, "standing")
+        within = duration(standing.partition("=")[2]) if standing != "keep" else None
+        return Identity(
+            # Beside the settings file unless it says otherwise.
+            keys=str(Path(self._path).parent / _text(element, "keys")),
+            rules=tuple(rules),
+            denied=tuple(_text(it, "subject") for it in self._children(element, "deny")),
+            stranger=stranger,
+            skew=self._skew(element),
+            move_within=within,
+            cache=int(_text(element, "cache")),
+            suspect_checks=rate(_text(element, "suspect-checks")),
+        )
+
+    def _skew(self, element: etree._Element) -> float:
+        skew = duration(_text(element, "skew"))
+        if skew > 300.0:
+            # Guards against tokens that are good long after their end.
+            raise self._error(element, f"skew {element.attrib['skew']} is too long; clocks agree within 5m")
+        return skew
+
+    def _rights(self, element: etree._Element) -> Rights:
+        rights = self._child(element, "rights")
+        if rights is None:
+            return Rights()
+        classes = frozenset(_text(rights, "classes").split()) if "classes" in rights.attrib else None
+        for name in sorted(classes or ()):
+            if name not in self._classes:
+                known = ", ".join(sorted(self._classes))
+                raise self._error(rights, f"there is no class {name!r}; the platform's are {known}")
+        if classes is not None and not classes:
+            raise self._error(rights, "classes names none; leave it out to allow all")
+        return Rights(
+            classes,
+            int(_text(rights, "connections")) if "connections" in rights.attrib else None,
+            rate(_text(rights, "openings")) if "openings" in rights.attrib else None,
+        )
+
+    def _error(self, element: etree._Element, what: str) -> SettingsError:
+        return SettingsError(self._path, _line(element), what)
+
+    @staticmethod
+    def _children(element: etree._Element, name: str) -> list[etree._Element]:
+        return element.findall(f"{{{NAMESPACE}}}{name}")
+
+    @staticmethod
+    def _child(element: etree._Element, name: str) -> etree._Element | None:
+        return element.find(f"{{{NAMESPACE}}}{name}")
--- /dev/null
+++ b/ironmill/settings/model.py
@@ -0,0 +1,31 @@
+"""What an operator's settings say, as immutable values."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ironmill.identity.rules import Identity
+
+
+@dataclass(frozen=True, slots=True)
+class LogSettings:
+    """How the log is written."""
+
+    form: str = "text"  # or json
+    level: str = "info"
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """One settings file, whole."""
+
+    path: str
+    log: LogSettings | None = None
+    identity: Identity | None = None
+
+
+class SettingsError(Exception):
+    """A settings file that is not fit for use: one line, with what is wrong and what would be right."""
+
+    def __init__(self, path: str, line: int, what: str) -> None:
+        super().__init__(f"{path}:{line}: {what}")
--- a/ironmill_lab/__main__.py
+++ b/ironmill_lab/__main__.py
@@ -1,7 +1,8 @@
 """The laboratory of ironmill. All of it stays on loopback and ends by itself.
 
 Usage:
-  ironmill_lab demo [--stay] [--clients=N]
+  ironmill_lab demo [--stay] [--clients=N] [--settings=FILE]
+  ironmill_lab call HOST:PORT [--token=TOKEN] [--class=NAME]
   ironmill_lab measure NAME [--quick] [--poller=NAME] [--program=DIR]
   ironmill_lab emulate [--hosts=N]
   ironmill_lab floor KIND --target=HOST:PORT
@@ -10,6 +11,9 @@
 Options:
   --stay         Keep the demonstration up until it is interrupted.
   --clients=N    How many clients the demonstration has [default: 60].
+  --settings=FILE  Operators' settings for the demonstration's proxy.
+  --token=TOKEN  What the one client of call shows; - reads it from standard input.
+  --class=NAME   What it asks for [default: index-sync].
   --quick        Smaller sizes: done within a minute.
   --poller=NAME  What the proxy waits with: epoll or poll [default: epoll].
   --program=DIR  Measure the proxy of another checkout, found in this folder.
@@ -17,7 +21,7 @@
   --target=HOST:PORT  Where a floor sends all lines on to.
   -h --help      Show this text.
 
-Measurements: core. Each prints a table, and as its last line one JSON object.
+Measurements: core, identity. Each prints a table, and as its last line one JSON object.
 """
 
 from __future__ import annotations
@@ -47,7 +51,12 @@
     if words["demo"]:
         from ironmill_lab import demo
 
-        return demo.run(int(words["--clients"]), words["--stay"])
+        settings = Path(words["--settings"]).resolve() if words["--settings"] else None
+        return demo.run(int(words["--clients"]), words["--stay"], settings)
+    if words["call"]:
+        from ironmill_lab import call
+
+        return call.run(words["HOST:PORT"], words["--token"] or "", words["--class"])
     from ironmill_lab import measure
 
     program = Path(words["--program"]).resolve() if words["--program"] else None
--- a/ironmill_lab/demo.py
+++ b/ironmill_lab/demo.py
@@ -25,8 +25,9 @@
 START_WAIT = 20.0
 
 
-def run(clients: int, stay: bool) -> int:
+def run(clients: int, stay: bool, settings: Path | None) -> int:
     """Play it; status 1 if a request went unanswered, a connection was lost or a drain was violated."""
+    more = [] if settings is None else [f"--settings={settings}"]
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         with Neighbours(folder, HOSTS) as neighbours:
@@ -34,10 +35,10 @@
             value = proxy_config("demo", address, neighbours.discovery, SOCKETS, platform_settings())
             config = write_config(folder, value)
             print(f"discovery and {HOSTS} emulated issuer hosts are up")
-            with ProxyProcess(config, folder) as proxy:
+            with ProxyProcess(config, folder, more=more) as proxy:
                 proxy.wait_ready()
                 scheduler = Scheduler()
-                demo = Demo(scheduler, neighbours, proxy, config, folder, clients)
+                demo = Demo(scheduler, neighbours, proxy, config, folder, clients, more)
                 try:
                     good: bool = play(scheduler, demo.story, LIMIT)
                     if stay:
@@ -59,13 +60,14 @@
 
     def __init__(
         self, scheduler: Scheduler, neighbours: Neighbours, proxy: ProxyProcess, config: Path, folder: Path,
-        clients: int,
+        clients: int, more: list[str],
     ) -> None:
         self._scheduler = scheduler
         self._neighbours = neighbours
         self._proxy = proxy
         self._config, self._folder = config, folder
         self._size = clients
+        self._more = more
         self._fleet = Fleet(scheduler, [proxy.address], 0)
         self._began = time.monotonic()
 
@@ -109,7 +111,7 @@
             self._scheduler.sleep(0.05)
         self._say(f"it has ended with status {self._proxy.popen.returncode} and is started again")
         self._proxy.end()
-        self._proxy = ProxyProcess(self._config, self._folder)
+        self._proxy = ProxyProcess(self._config, self._folder, more=self._more)
         until = time.monotonic() + START_WAIT
         while time.monotonic() < until and not self._answers():
             self._scheduler.sleep(0.02)
--- a/ironmill_lab/fleet.py
+++ b/ironmill_lab/fleet.py
@@ -36,13 +36,16 @@
         self.stream: Stream | None = None
         self.host = ""  # the issuer host that took it, as its UP line told
 
-    def open(self, wait: float = 2.0, fields: Mapping[str, object] = MappingProxyType({})) -> None:
+    def open(
+        self, wait: float = 2.0, fields: Mapping[str, object] = MappingProxyType({}), token: bytes = b""
+    ) -> None:
         """Ask and wait for UP. NotServedError for another answer, OSError or TimedOutError for none."""
         number = next(_serial)
         listed = "".join(f",{name}={value}" for name, value in fields.items())
         self.stream = Stream.connect(self._scheduler, self._address, CONNECT_WAIT)
         first = f"OPEN {number:x} {number * 2654435761 % 2**32:x} c={self._class},d={wait * 1000:.0f}{listed}"
-        self.stream.send(first.encode() + END, CONNECT_WAIT)
+        shown = b"AUTH " + token + END if token else b""
+        self.stream.send(shown + first.encode() + END, CONNECT_WAIT)
         answer = self.line(wait + ANSWER_MORE)
         if not answer.startswith(b"UP"):
             self.close()
--- a/ironmill_lab/measure.py
+++ b/ironmill_lab/measure.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-NAMES = ("core",)
+NAMES = ("core", "identity")
 
 
 def run(name: str, quick: bool, poller: str, program: Path | None) -> int:
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,436 @@
+"""Callers in service: on loopback sockets, with a proxy as a process, and by the commands of an operator."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from ironmill import callers as callers_module
+from ironmill.callers import Callers
+from ironmill.cli import main
+from ironmill.identity.gate import BURST, SUSPECT_AFTER, Admitted
+from ironmill.identity.keyring import KeyRing
+from ironmill.identity.rules import Caller, Identity, Rights
+from ironmill.net.keywatch import KeyWatch
+from ironmill.net.sockets import Stream
+from ironmill.scheduler import Scheduler
+from ironmill_lab.fleet import Client, NotServedError, play
+from ironmill_lab.processes import Neighbours, ProxyProcess, free_port
+from ironmill_lab.settings import platform_settings, proxy_config, write_config
+from tests.identity import AUDIENCE, ISSUER, Keys, forged, identity, rule
+from tests.test_gateway import FakeTimers
+from tests.test_identity import hostile
+from tests.test_net import OPEN, Town, read_line
+
+
+@pytest.fixture(scope="module")
+def keys(tmp_path_factory: pytest.TempPathFactory) -> Keys:
+    return Keys(tmp_path_factory.mktemp("keys"))
+
+
+def town_of(it: Identity, ring: KeyRing) -> Town:
+    town = Town()
+    town.callers = Callers(it, ring, town.scheduler)
+    return town
+
+
+def auth(token: bytes) -> bytes:
+    return b"AUTH " + token + b"\r\n"
+
+
+def answer(town: Town, *pieces: bytes) -> bytes:
+    client = town.client(*pieces)
+    line = read_line(client)
+    client.close()
+    return line
+
+
+def stand(town: Town, token: bytes) -> tuple[Stream, Stream]:
+    client = town.client(auth(token) + OPEN.replace(b"1a", b"%x" % random.getrandbits(60)))
+    leg = town.leg()
+    first = read_line(leg)
+    assert first.startswith(b"OPEN ")  # the credential goes no further
+    leg.send(b"UP r1\r\n")
+    assert read_line(client) == b"UP r1\r\n"
+    return client, leg
+
+
+def test_a_token_in_segments_of_one_byte_is_served_and_goes_no_further(keys: Keys) -> None:
+    def story(town: Town) -> None:
+        client = town.client(b"PING\r\n")
+        assert read_line(client) == b"PONG\r\n"
+        for at in range(len(line := auth(keys.token()) + OPEN)):
+            client.send(line[at : at + 1])
+        leg = town.leg()
+        assert read_line(leg).startswith(b"OPEN 1a 2b c=read,")
+        leg.send(b"UP r1\r\nhey\r\n")
+        client.close()
+        town.until(lambda: not town.gateway.busy())
+        assert town.callers is not None
+        assert town.callers._usage.connections("farms") == 0
+
+    town_of(identity(), keys.ring()).run(story)
+
+
+def test_who_is_not_known_gets_one_answer_and_no_leg(keys: Keys) -> None:
+    def story(town: Town) -> None:
+        assert town.callers is not None
+        assert answer(town, OPEN) == b"ERR\r\n"
+        for name, token in hostile(keys).items():
+            if len(token) < 4000:
+                assert answer(town, auth(token) + OPEN) == b"ERR\r\n", name
+        assert answer(town, auth(keys.token(exp=1)), OPEN) == b"ERR\r\n"
+        assert answer(town, auth(keys.token()) + auth(keys.token()) + OPEN) == b"ERR\r\n"
+        assert answer(town, b"AUTH \r\n" + OPEN) == b"ERR\r\n"
+        assert answer(town, b"AUTH " + b"x" * 5000) == b"ERR\r\n"
+        assert town.arrived == []
+        assert town.gateway.counts.get("authorisations", 0) == 0
+        counts = town.callers.counts()
+        assert counts["refused missing"] == 1
+        assert counts["refused expired"] == 1
+        assert counts["refused signature"] >= 2
+
+    town_of(identity(suspect_checks=1000.0), keys.ring()).run(story)
+
+
+def test_a_stranger_has_a_tenant_and_rights_of_its_own(keys: Keys) -> None:
+    stranger = Caller("stranger", "strangers", Rights(frozenset({"read"}), connections=1))
+    seen: list[Any] = []
+
+    def story(town: Town) -> None:
+        inner = town.gateway._balancer.handle
+        town.gateway._balancer.handle = lambda event, now: (seen.append(event), inner(event, now))[1]
+        first = town.client(OPEN)
+        leg = town.leg()
+        read_line(leg)
+        leg.send(b"UP r1\r\n")
+        assert read_line(first) == b"UP r1\r\n"
+        assert answer(town, OPEN.replace(b"1a", b"1b")).startswith(b"BUSY 1000")
+        first.close()
+        assert leg.receive(5.0) == b""
+        town.until(lambda: not town.gateway.busy())
+        client, _ = stand(town, keys.token())
+        client.close()
+        tenants = [event.tenant for event in seen if type(event).__name__ == "Request"]
+        assert tenants == ["strangers", "tenant-farms"]
+
+    town_of(identity(stranger=stranger), keys.ring()).run(story)
+
+
+def test_a_class_that_the_caller_may_not_have(keys: Keys) -> None:
+    def story(town: Town) -> None:
+        assert town.callers is not None
+        assert answer(town, auth(keys.token()) + OPEN) == b"ERR\r\n"
+        assert town.callers.counts()["refused class not allowed"] == 1
+
+    town_of(identity(rule(classes=frozenset({"write"}))), keys.ring()).run(story)
+
+
+@pytest.mark.parametrize("within", [None, 0.05])
+def test_what_stands_when_its_key_retires_is_kept_or_moved(keys: Keys, within: float | None) -> None:
+    def story(town: Town) -> None:
+        assert town.callers is not None
+        stood = [stand(town, keys.token(kid)) for kid in "aabab"]
+        town.callers.replace(identity(move_within=within), keys.ring().retired("a", time.time() - 1.0))
+        assert answer(town, auth(keys.token("a")) + OPEN) == b"ERR\r\n"
+        if within is not None:
+            for at in (0, 1, 3):
+                assert read_line(stood[at][0]) == b"MOVE\r\n"
+            town.until(lambda: len(town.gateway.standing()) == 2)
+        town.scheduler.sleep(0.1)
+        for at in range(5) if within is None else (2, 4):
+            client, leg = stood[at]
+            client.send(b"hey\r\n")
+            assert read_line(leg) == b"hey\r\n"
+
+    town_of(identity(move_within=within), keys.ring()).run(story)
+
+
+class Stands:
+    """A connection that stands, without a socket."""
+
+    def __init__(self) -> None:
+        self.moved: list[float] = []
+
+    def move(self) -> None:
+        self.moved.append(time.monotonic())
+
+
+def test_expired_and_denied_callers_are_moved_evenly(keys: Keys, monkeypatch: pytest.MonkeyPatch) -> None:
+    timers = FakeTimers(monkeypatch)
+    offset = time.time() - timers.now
+    it = Callers(identity(move_within=10.0, skew=0.0), keys.ring(), timers, lambda: timers.now + offset)
+    now = timers.now + offset
+    drivers = [Stands() for _ in range(4)]
+    for at, driver in enumerate(drivers):
+        token = keys.token(exp=now + (5.5 if at < 2 else 1000.0), sub=f"farm-{at}")
+        verdict = it.present(token, "x")
+        assert isinstance(verdict, Admitted)
+        assert it.open(verdict) is None
+        it.stands(verdict, driver)
+    start = timers.now
+    timers.run(5.0)
+    assert [driver.moved for driver in drivers] == [[], [], [], []]
+    timers.run(20.0)
+    first, second = drivers[0].moved[0], drivers[1].moved[0]
+    assert 5.5 <= first - start <= 5.5 + callers_module.LOOK
+    assert second - first == pytest.approx(5.0)
+    it.replace(identity(move_within=10.0, skew=0.0, denied=("farm-3",)), keys.ring())
+    timers.run(1.0)
+    assert [len(driver.moved) for driver in drivers] == [1, 1, 0, 1]
+
+
+def test_what_has_expired_is_not_kept_by_those_that_left(keys: Keys, monkeypatch: pytest.MonkeyPatch) -> None:
+    timers = FakeTimers(monkeypatch)
+    it = Callers(identity(), keys.ring(), timers, lambda: timers.now + 1e9)
+    caller = Admitted(rule().caller, "a", 3e9)
+    for _ in range(500):
+        driver = Stands()
+        it.open(caller)
+        it.stands(caller, driver)
+        it.close(caller, driver)
+    timers.run(2.0)
+    assert len(it._expiring) <= 64
+
+
+def test_a_half_written_ring_changes_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    keys, timers = Keys(tmp_path), FakeTimers(monkeypatch)
+    taken: list[KeyRing] = []
+    watch = KeyWatch(timers, str(keys.path), taken.append)
+    watch.start()
+    data = keys.path.read_bytes()
+    for cut in (data[:50], b"", data[:-9]):
+        keys.path.write_bytes(cut)
+        timers.run(1.0)
+    keys.path.unlink()
+    timers.run(1.0)
+    assert taken == []
+    assert {record.getMessage() for record in caplog.records} == {"key ring refused"}
+    keys.path.write_bytes(data)
+    timers.run(1.0)
+    assert [key.kid for key in taken[0]] == ["a", "b"]
+    timers.run(5.0)
+    assert len(taken) == 1
+
+
+SETTINGS = f"""<ironmill xmlns="urn:ironmill:settings:1">
+  <log form="json"/>
+  <identity keys="ring.json" standing="move-within=500ms" suspect-checks="1000/s">
+    <caller name="farms" tenant="community">
+      <token issuer="{ISSUER}" audience="{AUDIENCE}" subject="farm-*"/>
+    </caller>
+  </identity>
+</ironmill>
+"""
+
+
+class Served:
+    """A proxy with settings, as a process, and clients that show tokens."""
+
+    def __init__(self, folder: Path, neighbours: Neighbours) -> None:
+        self.settings = folder / "settings.xml"
+        self.settings.write_text(SETTINGS)
+        config = proxy_config(
+            "p", ("127.0.0.1", free_port()), neighbours.discovery, 4096, platform_settings()
+        )
+        more = [f"--settings={self.settings}"]
+        self.proxy = ProxyProcess(write_config(folder, config), folder, more=more)
+        self.scheduler = Scheduler()
+        self.answers: Counter[tuple[str, str]] = Counter()
+
+    def ask(self, kind: str, token: bytes, at: float = 0.0) -> str:
+        """Ask once at that time; the first word of the answer, empty for none."""
+        self.scheduler.sleep(at)
+        client = Client(self.scheduler, self.proxy.address)
+        try:
+            client.open(token=token)
+            word = "UP"
+            # One answer and no more: what comes next is what was asked.
+            assert client.ask(b"line") == b"line"
+        except NotServedError as error:
+            word = str(error).partition(" ")[0]
+        self.answers[kind, word] += 1
+        client.close()
+        return word
+
+
+def test_a_rotation_while_clients_reconnect(tmp_path: Path) -> None:
+    """Hard case 1: no valid caller refused, no forged one admitted, one answer each; by files alone."""
+    keys = Keys(tmp_path)
+    rng = random.Random(4)
+    now = time.time()
+    with Neighbours(tmp_path, 3) as neighbours:
+        it = Served(tmp_path, neighbours)
+        with it.proxy:
+            it.proxy.wait_ready()
+            bad = {
+                "expired": lambda kid: keys.token(kid, exp=now - 60.0),
+                "early": lambda kid: keys.token(kid, nbf=now + 3600.0),
+                "forged": lambda kid: forged(keys.token(kid, sub=f"farm-{rng.random()}")),
+                "audience": lambda kid: keys.token(kid, aud="other"),
+            }
+
+            def crowd(count: int, good: str, more: dict[str, Any]) -> None:
+                kinds = [*more, *["good"] * 4]
+                for at in range(count):
+                    kind = kinds[at % len(kinds)]
+                    kid = rng.choice(good)
+                    token = keys.token(kid, sub=f"farm-{at}") if kind == "good" else more[kind](kid)
+                    it.scheduler.spawn(it.ask, kind, token, 0.2 + 1.2 * rng.random())
+
+            def story() -> None:
+                crowd(160, "ab", bad)
+                it.scheduler.sleep(0.7)
+                keys.write(keys.ring().promoted("b", time.time(), 3600.0))
+                while sum(it.answers.values()) < 160:
+                    it.scheduler.sleep(0.02)
+                keys.write(keys.ring().retired("a", time.time()))
+                while it.ask("probe", keys.token("a")) == "UP":
+                    it.scheduler.sleep(0.02)
+                crowd(160, "b", bad | {"retired": lambda _: keys.token("a", sub=f"farm-{rng.random()}")})
+                while sum(n for (kind, _), n in it.answers.items() if kind != "probe") < 320:
+                    it.scheduler.sleep(0.02)
+
+            play(it.scheduler, story, 90.0)
+            assert it.proxy.end() == 0
+        log = it.proxy.log.read_text()
+    answers = {kind: {word for (of, word) in it.answers if of == kind} for kind, _ in it.answers}
+    assert answers.pop("probe") <= {"UP", "ERR"}
+    assert answers.pop("good") == {"UP"}
+    assert answers == {key: {"ERR"} for key in [*bad, "retired"]}
+    events = [orjson.loads(line) for line in log.splitlines()]
+    kinds = {event["kind"] for event in events if event["event"] == "credential refused"}
+    assert {"expired", "not yet valid", "signature", "no caller"} <= kinds
+    assert all(event["proxy"] == "p" for event in events)
+    assert keys.token("a").split(b".")[0].decode() not in log
+
+
+def test_forged_tokens_at_full_speed_and_valid_callers_beside_them(keys: Keys) -> None:
+    """Hard case 4: the flood is checked within its budget, and no valid caller is refused or kept waiting."""
+    words: Counter[tuple[str, str]] = Counter()
+
+    def story(town: Town) -> None:
+        assert town.callers is not None
+        forgeries = [forged(keys.token(sub=f"farm-{at}")) for at in range(200)]
+
+        def flood() -> None:
+            for token in forgeries:
+                client = Stream.connect(town.scheduler, town.listener.address, 5.0, "127.0.0.9")
+                client.send(auth(token) + OPEN)
+                words["forged", read_line(client)[:4].decode().strip()] += 1
+                client.close()
+
+        town.scheduler.spawn(flood)
+        for at in range(30):
+            client, leg = stand(town, keys.token(sub=f"farm-{at}"))
+            words["good", "UP"] += 1
+            client.close()
+            leg.close()
+        town.until(lambda: sum(words.values()) == 230)
+        # The valid ones cost a signature each; of the flood only what its budget allows was looked at.
+        allowed = SUSPECT_AFTER + BURST + 1
+        assert 30 < town.callers.gate.verified <= 30 + allowed
+        assert words["forged", "BUSY"] == town.callers.counts()["postponed"] >= 200 - allowed
+
+    town_of(identity(suspect_checks=0.001), keys.ring()).run(story)
+    assert {word for kind, word in words if kind == "forged"} == {"ERR", "BUSY"}
+
+
+def test_settings_are_replaced_under_load_and_a_broken_file_changes_nothing(tmp_path: Path) -> None:
+    """Hard case 6: five in a row, one of them broken; each holds for all or for none."""
+    keys = Keys(tmp_path)
+    with Neighbours(tmp_path, 2) as neighbours:
+        it = Served(tmp_path, neighbours)
+        with it.proxy:
+            it.proxy.wait_ready()
+
+            def story() -> None:
+                ending = False
+
+                def load() -> None:
+                    while not ending:
+                        it.ask("load", keys.token(sub="farm-load"))
+
+                for _ in range(4):
+                    it.scheduler.spawn(load)
+                narrow = SETTINGS.replace("farm-*", "farm-load")
+                denied = SETTINGS.replace("<caller", '<deny subject="farm-1"/><caller')
+                for text, word in (
+                    (narrow, "ERR"), (SETTINGS, "UP"), ("<ironmill", "UP"), (denied, "ERR"), (SETTINGS, "UP"),
+                ):
+                    it.settings.write_text(text)
+                    os.kill(it.proxy.popen.pid, signal.SIGHUP)
+                    it.scheduler.sleep(0.2)
+                    while it.ask("one", keys.token()) != word:
+                        it.scheduler.sleep(0.02)
+                ending = True
+
+            play(it.scheduler, story, 60.0)
+            assert it.proxy.end() == 0
+        log = it.proxy.log.read_text()
+    assert {word for kind, word in it.answers if kind == "load"} == {"UP"}
+    assert log.count("the old configuration goes on") == 1
+
+
+def test_an_operators_commands_from_a_key_to_a_caller(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    store = ["--store", str(tmp_path)]
+
+    def run(*words: str) -> tuple[int, str, str]:
+        status = main(list(words))
+        out, err = capsys.readouterr()
+        return status, out, err
+
+    issue = ["token", "issue", "farm-1", *store, "--audience", AUDIENCE, "--issuer", ISSUER]
+    assert run("keys", "new", "../x", *store)[0] == 2
+    assert run("keys", "new", "k1", *store, "--algorithm=HS256")[0] == 2
+    assert run("keys", "new", "k1", *store)[0] == 0
+    assert "there is a key 'k1' already" in run("keys", "new", "k1", *store)[2]
+    assert "no key is signing" in run(*issue)[2]
+    assert run("keys", "promote", "k1", *store, "--overlap=soon")[0] == 2
+    assert run("keys", "promote", "k1", *store)[0] == 0
+    token = run(*issue)[1].strip()
+    assert orjson.loads(run("token", "inspect", token)[1])["claims"]["sub"] == "farm-1"
+    assert run("token", "inspect", "a.b.c")[0] == 2
+    settings = tmp_path / "settings.xml"
+    settings.write_text(SETTINGS)
+    config = proxy_config("p", ("127.0.0.1", 1), ("127.0.0.1", 2), 512, platform_settings())
+    files = ["--settings", str(settings), "--config", str(write_config(tmp_path, config))]
+    explained = run("caller", "explain", token, *files)[1].splitlines()
+    assert explained[0] == "line 4, caller farms: matches"
+    assert explained[1].startswith("admitted by key k1: caller farms of tenant community, all classes")
+    (tmp_path / "k1.pem").chmod(0o640)
+    assert "others may read it; it must be 0600" in run(*issue)[2]
+    (tmp_path / "k1.pem").chmod(0o600)
+    assert "let another key sign first" in run("keys", "retire", "k1", *store)[2]
+    assert run("keys", "new", "k2", *store, "--algorithm=ES256")[0] == 0
+    assert run("keys", "promote", "k2", *store, "--overlap=1h")[0] == 0
+    assert run("keys", "retire", "k1", *store, "--after=0s")[0] == 0
+    listed = run("keys", "list", *store)[1].splitlines()
+    assert [(line.split()[0], line.split()[2]) for line in listed] == [("k1", "retired"), ("k2", "signing")]
+    assert run("caller", "explain", token, *files)[1].splitlines()[-1] == "refused: key retired"
+    assert run("caller", "explain", "rubbish", *files)[1].startswith("refused: malformed")
+
+
+def test_without_settings_nothing_of_this_is_imported() -> None:
+    code = (
+        "import sys, ironmill.cli\n"
+        "heavy = ('lxml', 'structlog', 'cryptography', 'jwt', 'ironmill.identity', 'ironmill.settings',"
+        " 'ironmill.callers', 'ironmill.commands', 'ironmill_lab')\n"
+        "print([name for name in heavy if name in sys.modules])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,6 +12,7 @@
 import pytest
 
 from ironmill.admission import Admission
+from ironmill.callers import Callers
 from ironmill.delay import DelayMeter
 from ironmill.gateway import Gateway
 from ironmill.net import client as client_module
@@ -47,10 +48,13 @@
         self.config = config(Routing(1, True, listed), **changes)
         self.gateway = Gateway(self.config, self.scheduler)
         self.admission = Admission(self.config.sockets)
+        self.callers: Callers | None = None
         self.listener = Listener(self.scheduler, ("127.0.0.1", 0), self._take)
 
     def _take(self, stream: Stream) -> None:
-        ClientDriver(self.scheduler, self.gateway, self.config, self.admission, stream).start()
+        ClientDriver(
+            self.scheduler, self.gateway, self.config, self.admission, stream, self.callers
+        ).start()
 
     def run(self, story: Callable[[Town], None]) -> None:
         failed: list[BaseException] = []
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,125 @@
+"""Settings files: each wrong one is one line that names file, line, what is wrong and what would be right."""
+
+from __future__ import annotations
+
+import shutil
+from pathlib import Path
+
+import pytest
+
+from ironmill.cli import main
+from ironmill.settings.load import SIZE_MOST, load_settings
+from ironmill.settings.model import LogSettings, SettingsError
+from tests.test_config import written
+
+EXAMPLE = Path(__file__).parent.parent / "deploy" / "settings.example.xml"
+CLASSES = ("index-sync", "archive-fetch")
+IDENTITY = '<identity keys="ring.json">{}</identity>'
+CALLER = '<caller name="a" tenant="t"><token issuer="i" audience="u"/>{}</caller>'
+
+
+def file(folder: Path, text: str) -> str:
+    path = folder / "settings.xml"
+    path.write_text(f'<ironmill xmlns="urn:ironmill:settings:1">\n{text}\n</ironmill>', encoding="utf-8")
+    return str(path)
+
+
+def test_the_example_is_taken_whole() -> None:
+    settings = load_settings(str(EXAMPLE), CLASSES)
+    assert settings.log == LogSettings("json", "info")
+    identity = settings.identity
+    assert identity is not None
+    assert (identity.skew, identity.move_within, identity.suspect_checks) == (30.0, 20.0, 50.0)
+    assert identity.keys == str(EXAMPLE.parent / "keys" / "ring.json")
+    assert [rule.caller.name for rule in identity.rules] == ["build-farms", "mirrors"]
+    first = identity.rules[0].caller.rights
+    assert (first.classes, first.connections, first.openings) == (frozenset(CLASSES), 2000, 200.0)
+    assert identity.stranger is not None
+    assert identity.denied == ("farm-17@*",)
+
+
+def test_what_is_left_out_has_the_schemas_value(tmp_path: Path) -> None:
+    settings = load_settings(file(tmp_path, "<log/>" + IDENTITY.format(CALLER.format(""))), CLASSES)
+    assert settings.log == LogSettings()
+    identity = settings.identity
+    assert identity is not None
+    assert (identity.skew, identity.move_within, identity.cache) == (30.0, None, 8192)
+    assert identity.stranger is None
+    assert identity.rules[0].tokens[0].subject == "*"
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "wrong"),
+    [
+        ("<log", 3, "is not XML"),
+        ("<lag/>", 2, "lag"),
+        ('<log form="xml"/>', 2, "'text', 'json'"),
+        ('<log color="red"/>', 2, "color"),
+        ("<log/><log/>", 2, "log"),
+        ("\n<identity/>", 3, "keys"),
+        (IDENTITY.format(""), 2, "nobody could be served; name a caller, or strangers"),
+        ('<identity keys="k" skew="30"><strangers tenant="s"/></identity>', 2, "as in 250ms, 30s or 2m"),
+        ('<identity keys="k" skew="10m"><strangers tenant="s"/></identity>', 2, "clocks agree within 5m"),
+        ('<identity keys="k" standing="drop"><strangers tenant="s"/></identity>', 2, "move-within=30s"),
+        ('<identity keys="k" suspect-checks="5"><strangers tenant="s"/></identity>', 2, "as in 50/s"),
+        ('<identity keys="k" cache="-1"><strangers tenant="s"/></identity>', 2, "cache"),
+        (IDENTITY.format(CALLER.format("") + "\n" + CALLER.format("")), 3, "named on line 2 already"),
+        (IDENTITY.format(CALLER.format("").replace('"a"', '"stranger"')), 2, "kept for those without"),
+        (IDENTITY.format(CALLER.format("").replace('"a"', '"a b"')), 2, "a name begins with"),
+        (IDENTITY.format('<caller name="a" tenant="t"/>'), 2, "token"),
+        (IDENTITY.format('<caller name="a" tenant="t"><token issuer="i"/></caller>'), 2, "audience"),
+        (IDENTITY.format(CALLER.format('<rights classes="chat"/>')), 2, "the platform's are archive-fetch"),
+        (IDENTITY.format(CALLER.format('<rights classes=" "/>')), 2, "leave it out to allow all"),
+        (IDENTITY.format(CALLER.format('<rights connections="0"/>')), 2, "connections"),
+        (IDENTITY.format(CALLER.format('<rights openings="5 a second"/>')), 2, "as in 50/s or 10/m"),
+    ],
+)
+def test_a_wrong_file_is_one_line(text: str, line: int, wrong: str, tmp_path: Path) -> None:
+    path = file(tmp_path, text)
+    with pytest.raises(SettingsError) as caught:
+        load_settings(path, CLASSES)
+    told = str(caught.value)
+    assert told.startswith(f"{path}:{line}: ")
+    assert wrong in told
+    assert "\n" not in told
+    assert "urn:ironmill" not in told
+
+
+@pytest.mark.parametrize(
+    ("data", "wrong"),
+    [
+        (b'<!DOCTYPE ironmill [<!ENTITY a "b">]><ironmill xmlns="urn:ironmill:settings:1"/>', "DOCTYPE"),
+        (b'<!DOCTYPE ironmill SYSTEM "http://127.0.0.1:9/x.dtd"><ironmill xmlns="urn:ironmill:settings:1"/>',
+         "DOCTYPE"),
+        (b"<ironmill/>", "ironmill"), (b"", "is not XML"), (b"\xff\xfe\x00", "is not XML"),
+        (b" " * (SIZE_MOST + 1), "is larger than"),
+        ('<!DOCTYPE r [<!ENTITY x "y">]><ironmill xmlns="urn:x"/>'.encode("utf-16"), "DOCTYPE"),
+    ],
+)
+def test_files_that_are_something_else(data: bytes, wrong: str, tmp_path: Path) -> None:
+    path = tmp_path / "settings.xml"
+    path.write_bytes(data)
+    with pytest.raises(SettingsError, match=wrong):
+        load_settings(str(path), CLASSES)
+    path.unlink()
+    with pytest.raises(SettingsError, match="cannot be read"):
+        load_settings(str(path), CLASSES)
+
+
+def test_check_config_takes_the_example_and_names_what_is_missing(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    settings = tmp_path / "settings.xml"
+    shutil.copy(EXAMPLE, settings)
+    categories = [
+        {"name": name, "aimS": 0.3, "effect": "pure", "group": "all", "points": 1.0} for name in CLASSES
+    ]
+    words = ["--config", written(tmp_path, ("settings.categories", categories)), "--settings", str(settings)]
+    assert main(["check-config", *words]) == 2
+    assert "ring.json: the key ring cannot be read" in capsys.readouterr().err
+    assert main(["keys", "new", "first", "--store", str(tmp_path / "keys")]) == 0
+    assert main(["check-config", *words]) == 0
+    assert f"the settings in {settings} are fit for use" in capsys.readouterr().out
+    # Where the platform has no such class the same file is wrong.
+    assert main(["check-config", "--config", written(tmp_path), "--settings", str(settings)]) == 2
+    assert f"{settings}:7: there is no class 'index-sync'; the platform's are read" in capsys.readouterr().err
