A listener for TLS, and callers by client certificate that are denied while they stand

Tokens alone leave out callers that hold a certificate, and a token in plain can be read on its way. TLS is a state machine fed bytes by ssl.MemoryBIO below the client's driver, so plain and TLS share everything above it; handshake and first line share the 2 s. Certificates map to callers by their names, are denied by revocation list or fingerprint, also while their connections stand, and the server's own is replaced at SIGHUP.

Found on the way, by a test of certificates whose clients were dropped without a close: a stream that nobody closed left its descriptor's number registered in the scheduler (sockets.py, scheduler._masks), and the next connection of that number was never woken. Listener and accept were ruled out first; a stream now gives its number back when it is freed. Also an abort over TLS said close_notify first and passed for an orderly end; it says nothing now.

--- a/ironmill/callers.py
+++ b/ironmill/callers.py
@@ -61,6 +61,10 @@
         """It shows a token."""
         return self._believe(self._callers.present(token, self._address))
 
+    def show_certificate(self, der: bytes) -> float | None:
+        """Its certificate, whose chain is good."""
+        return self._believe(self._callers.certificate(der, self._address))
+
     def ask(self, class_name: str) -> float | None:
         """It asks for a connection of the class, and is counted from now on."""
         if self._admitted is None:
@@ -126,6 +130,10 @@
         """A client shows a token."""
         return self._told(self.gate.present(token, address, self._clock()), address)
 
+    def certificate(self, der: bytes, address: str) -> Verdict:
+        """A client has shown a certificate whose chain is good."""
+        return self._told(self.gate.certificate(der, self._clock()), address)
+
     def stranger(self, address: str) -> Verdict:
         """A client shows none."""
         return self._told(self.gate.stranger(), address)
--- a/ironmill/identity/gate.py
+++ b/ironmill/identity/gate.py
@@ -12,8 +12,9 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
+from ironmill.identity.certificates import Certificate, read_certificate
 from ironmill.identity.keyring import KeyRing
-from ironmill.identity.rules import Caller, Identity, denied, map_token
+from ironmill.identity.rules import Caller, Identity, denied, map_names, map_token
 from ironmill.identity.tokens import Refusal, Token, TokenError, check_times, read, verify
 
 # An address is suspect after so many refused signatures within the span, in seconds.
@@ -32,6 +33,7 @@
     kid: str = ""  # empty for a stranger
     expires: float | None = None  # Unix time with the skew added; None for a stranger
     token: Token | None = None  # what was believed; its raw bytes are dropped
+    certificate: Certificate | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,8 +149,36 @@
         except TokenError as error:
             return self._refused(error)
 
+    def certificate(self, der: bytes, now: float) -> Verdict:
+        """Somebody shows a certificate whose chain is good."""
+        try:
+            verdict = self._admit_certificate(read_certificate(der), now)
+        except TokenError as error:
+            return self._refused(error)
+        self._count("admitted")
+        return verdict
+
+    def _admit_certificate(self, certificate: Certificate, now: float) -> Admitted:
+        """All that is asked each time."""
+        skew = self.identity.skew
+        if certificate.fingerprint in self.identity.denied_certificates:
+            raise TokenError(Refusal.DENIED)
+        if now >= certificate.expires + skew:
+            raise TokenError(Refusal.EXPIRED)
+        if now < certificate.not_before - skew:
+            raise TokenError(Refusal.NOT_YET)
+        caller = map_names(self.identity, certificate.names)
+        if caller is None:
+            raise TokenError(Refusal.NO_CALLER)
+        return Admitted(caller, expires=certificate.expires + skew, certificate=certificate)
+
     def still(self, admitted: Admitted, now: float) -> Verdict:
         """Would the credential of a connection that stands be admitted now?"""
+        if admitted.certificate is not None:
+            try:
+                return self._admit_certificate(admitted.certificate, now)
+            except TokenError as error:
+                return Refused(error.refusal)
         if admitted.token is None:
             return admitted if self.identity.stranger is not None else Refused(Refusal.MISSING)
         try:
--- a/ironmill/identity/rules.py
+++ b/ironmill/identity/rules.py
@@ -37,11 +37,12 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerRule:
-    """One caller and the tokens that are its."""
+    """One caller, and the tokens and certificates that are its."""
 
     caller: Caller
-    tokens: tuple[TokenMatch, ...]
+    tokens: tuple[TokenMatch, ...] = ()
     line: int = 0  # in the settings file
+    names: tuple[str, ...] = ()  # patterns of certificates' names, as dns:NAME, uri:URI or email:ADDRESS
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,7 @@
     keys: str  # the path of the key ring
     rules: tuple[CallerRule, ...] = ()
     denied: tuple[str, ...] = ()  # patterns of subjects
+    denied_certificates: frozenset[str] = frozenset()  # by fingerprint
     stranger: Caller | None = None  # None: no credential, no service
     skew: float = 30.0
     move_within: float | None = None  # None: what stands is kept when its credential ends
@@ -109,6 +111,14 @@
     return steps
 
 
+def map_names(identity: Identity, names: tuple[str, ...]) -> Caller | None:
+    """The caller of the first rule that one of a certificate's names meets, None if there is none."""
+    for rule in identity.rules:
+        if any(fits(pattern, name) for pattern in rule.names for name in names):
+            return rule.caller
+    return None
+
+
 def denied(identity: Identity, claims: Mapping[str, object]) -> bool:
     """True if the subject is denied, whatever else the token says."""
     subject = claims.get("sub")
--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -161,6 +161,8 @@
         if self._side.state is ClientState.FIRST:
             self._first_by = time.monotonic() + FIRST_LINE_WAIT
         try:
+            if self._side.state is ClientState.FIRST:
+                self._greet()
             while self._side.state is not ClientState.OVER:
                 if self._side.state is ClientState.STANDING and self._stream.drained:
                     self._reader = self._stream.when_readable(self.guarded, self._read)
@@ -177,12 +179,21 @@
                     break
         except TimedOutError:
             self._turn_away("no first line in time")
-        except OSError:
+        except OSError as error:
+            if self._side.state is ClientState.FIRST and not isinstance(error, ConnectionResetError):
+                self._admission.complain(str(error))
             self._client_gone(reset=True)
         else:
             if self._side.state is ClientState.OVER and self._authorisation is None and self._first is None:
                 self._finish(b"")  # it left without a word
 
+    def _greet(self) -> None:
+        """The handshake, where there is one; it counts into the time for the first line."""
+        self._stream.shake(self._first_by)
+        shown = None if self._guest is None else self._stream.certificate()
+        if self._guest is not None and shown is not None:
+            self._go_on(self._guest.show_certificate(shown))
+
     def _turn_away(self, reason: str | None) -> None:
         """A client that does not keep to the protocol gets one plain answer and an end."""
         if reason is not None:
@@ -422,7 +433,7 @@
         self._writing = True
         try:
             rest = data[self._stream.send_now(data) :]
-            if rest:
+            if rest or self._stream.behind:
                 if self._leg is not None:
                     self._gateway.client_slow(self._leg)
                 self._stream.send(rest)
--- a/ironmill/net/listener.py
+++ b/ironmill/net/listener.py
@@ -22,9 +22,11 @@
     """The listening socket."""
 
     def __init__(
-        self, scheduler: Scheduler, address: tuple[str, int], take: Callable[[Stream], None]
+        self, scheduler: Scheduler, address: tuple[str, int], take: Callable[[Stream], None],
+        make: Callable[[Scheduler, socket.socket], Stream] = Stream,
     ) -> None:
         self._scheduler = scheduler
+        self._make = make
         self._take = take
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -74,7 +76,7 @@
                 return False
             return True  # that one connection broke before it was accepted
         try:
-            self._take(Stream(self._scheduler, sock))
+            self._take(self._make(self._scheduler, sock))
         except OSError as error:  # guards the accepting task: the connection broke at once
             log.info("a connection broke when it was accepted: %s", error)
             sock.close()
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -5,7 +5,9 @@
 import logging
 import resource
 import signal
+import socket
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from ironmill import logs
@@ -62,20 +64,39 @@
             config, read_again, self.discovery.watch_at, read_operator, self._take_operator
         )
         self.listener = Listener(self.scheduler, config.listen, self._take)
+        self.tls_listener: Listener | None = None
+        if operator is not None and operator.settings.tls is not None and operator.tls is not None:
+            from ironmill.net.tls import TlsStream
+
+            def make(scheduler: Scheduler, sock: socket.socket) -> Stream:
+                # The context of now: a certificate that was replaced is shown from the next connection on.
+                assert self._operator is not None
+                assert self._operator.tls is not None
+                return TlsStream(scheduler, sock, self._operator.tls.context)
+
+            self.tls_listener = Listener(self.scheduler, operator.settings.tls.listen, self._take, make)
 
     def serve(self) -> None:
         """Run until SIGTERM or SIGINT has been dealt with."""
         self.discovery.start()
-        shutdown = Shutdown(self.scheduler, self.gateway, self.listener, self._config)
+        shutdown = Shutdown(self.scheduler, self.gateway, self, self._config)
         self._signals.on(signal.SIGHUP, self.reload.run)
         self._signals.on(signal.SIGTERM, shutdown.run)
         self._signals.on(signal.SIGINT, shutdown.run)
         self._signals.start(self.scheduler)
         Collector(self.scheduler, self.gateway.held).start()
         log.info("listening on %s:%d", *self.listener.address)
+        if self.tls_listener is not None:
+            log.info("listening for TLS on %s:%d", *self.tls_listener.address)
         log.info("of %d descriptors %d are for clients", self._config.sockets, self.admission.most)
         self.scheduler.run()
 
+    def close(self) -> None:
+        """Take no more connections."""
+        self.listener.close()
+        if self.tls_listener is not None:
+            self.tls_listener.close()
+
     def _take(self, stream: Stream) -> None:
         ClientDriver(
             self.scheduler, self.gateway, self._config, self.admission, stream, self.callers
@@ -87,9 +108,17 @@
 
     def _take_operator(self, operator: Operator) -> None:
         """Other settings: what they say of callers holds from now on, for whoever shows a credential next."""
-        old, self._operator = self._operator, operator
+        old = self._operator
         if old is None:
             return
+        old_listen = None if old.settings.tls is None else old.settings.tls.listen
+        new_listen = None if operator.settings.tls is None else operator.settings.tls.listen
+        if old_listen != new_listen:
+            log.warning("reload: takes a restart: tls listen")
+            operator = replace(operator, tls=old.tls)
+        elif old.tls is not None and operator.tls is not None and old.tls.digest == operator.tls.digest:
+            operator = replace(operator, tls=old.tls)  # the same files: sessions go on being resumed
+        self._operator = operator
         if old.settings.log != operator.settings.log:
             logs.set_up(self._config.name, operator.settings.log)
         identity = operator.settings.identity
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -5,10 +5,10 @@
 import logging
 import math
 import time
+from typing import Protocol
 
 from ironmill.config import Config
 from ironmill.gateway import Gateway
-from ironmill.net.listener import Listener
 from ironmill.scheduler import Scheduler
 
 ACCEPT_FOR = 0.5  # new connections go on coming for up to 0.4 s
@@ -25,10 +25,17 @@
 log = logging.getLogger("ironmill.shutdown")
 
 
+class Closable(Protocol):
+    """Whatever takes new connections."""
+
+    def close(self) -> None:
+        """Take no more."""
+
+
 class Shutdown:
     """Ends the scheduler's run when a signal asks for it."""
 
-    def __init__(self, scheduler: Scheduler, gateway: Gateway, listener: Listener, config: Config) -> None:
+    def __init__(self, scheduler: Scheduler, gateway: Gateway, listener: Closable, config: Config) -> None:
         self._scheduler = scheduler
         self._gateway = gateway
         self._listener = listener
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -43,6 +43,28 @@
         if sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def __del__(self) -> None:
+        """Guards other connections against a stream that nobody closed.
+
+        Its descriptor's number comes again, and the scheduler would take that one for registered already.
+        """
+        if not getattr(self, "closed", True):
+            self.closed = True
+            self._scheduler.forget(self._sock.fileno())
+            self._sock.close()
+
+    @property
+    def behind(self) -> bool:
+        """True while something is held that the socket has not taken; a plain stream holds nothing."""
+        return False
+
+    def shake(self, deadline: float) -> None:
+        """What comes before the first byte; nothing here."""
+
+    def certificate(self) -> bytes | None:
+        """The other side's certificate in DER, None if it showed none."""
+        return None
+
     @classmethod
     def connect(
         cls, scheduler: Scheduler, address: tuple[str, int], timeout: float, source: str = ""
--- a/ironmill/operator.py
+++ b/ironmill/operator.py
@@ -5,12 +5,16 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from ironmill.identity.keyring import KeyRing, RingError, parse_ring
 from ironmill.identity.rules import Identity
 from ironmill.settings.model import OperatorSettings, SettingsError
 from stonegap.settings import MalformedError
 
+if TYPE_CHECKING:
+    from ironmill.tls_context import ServerTls
+
 
 @dataclass(frozen=True, slots=True)
 class Operator:
@@ -18,6 +22,7 @@
 
     settings: OperatorSettings
     ring: KeyRing | None = None  # there if the settings hold an identity
+    tls: ServerTls | None = None  # there if the settings hold a listener for TLS
 
 
 def read_operator(path: str, classes: Collection[str]) -> Operator:
@@ -33,7 +38,12 @@
     except SettingsError as error:
         raise MalformedError(str(error)) from None
     identity: Identity | None = settings.identity
-    return Operator(settings, None if identity is None else read_ring(identity.keys))
+    ring = None if identity is None else read_ring(identity.keys)
+    if settings.tls is None:
+        return Operator(settings, ring)
+    from ironmill.tls_context import server_tls
+
+    return Operator(settings, ring, server_tls(settings.tls))
 
 
 def read_ring(path: str) -> KeyRing:
--- a/ironmill/settings/load.py
+++ b/ironmill/settings/load.py
@@ -13,7 +13,7 @@
 from lxml import etree
 
 from ironmill.identity.rules import Caller, CallerRule, Identity, Rights, TokenMatch
-from ironmill.settings.model import LogSettings, OperatorSettings, SettingsError
+from ironmill.settings.model import LogSettings, OperatorSettings, SettingsError, TlsSettings
 
 SIZE_MOST = 1 << 20
 NAMESPACE = "urn:ironmill:settings:1"
@@ -24,6 +24,9 @@
     "rate": "a rate is a number and its unit, as in 50/s or 10/m",
     "standing": "it is keep, or move-within= and a duration, as in move-within=30s",
     "name": "a name begins with a letter or digit and goes on with those or any of . _ : @ -",
+    "alternative": "it is dns:, uri: or email: and a pattern, as in dns:*.farm.example",
+    "fingerprint": "it is the SHA-256 of the certificate's DER form, 64 digits of 0 to 9 and a to f",
+    "address": "an address is HOST:PORT, as in 127.0.0.1:3443",
     "pattern": "it is 1 to 255 printable characters without blanks",
 }
 
@@ -94,6 +97,9 @@
     "rate": "'[0-9]{1,9}(\\.[0-9]{1,6})?/(s|m|h)'",
     "standing": "'keep|move-within=",
     "name": "'[A-Za-z0-9][A-Za-z0-9._:@-]{0,127}'",
+    "alternative": "'(dns|uri|email):",
+    "fingerprint": "'[0-9a-f]{64}'",
+    "address": "'[0-9A-Za-z.-]{1,255}:",
     "pattern": "'[!-~]{1,255}'",
 }
 
@@ -115,13 +121,32 @@
         self._classes = classes
 
     def build(self, root: etree._Element) -> OperatorSettings:
-        log, identity = self._child(root, "log"), self._child(root, "identity")
+        log, identity, tls = (self._child(root, name) for name in ("log", "identity", "tls"))
         return OperatorSettings(
             path=self._path,
             log=None if log is None else LogSettings(_text(log, "form"), _text(log, "level")),
             identity=None if identity is None else self._identity(identity),
+            tls=None if tls is None else self._tls(tls),
         )
 
+    def _tls(self, element: etree._Element) -> TlsSettings:
+        host, _, port = _text(element, "listen").rpartition(":")
+        if not 0 <= int(port) <= 65535:
+            raise self._error(element, f"there is no port {port}; a port is 0 to 65535")
+        clients = _text(element, "clients")
+        if clients != "none" and "authorities" not in element.attrib:
+            raise self._error(element, f"clients={clients!r} needs authorities, who sign their certificates")
+        if clients == "none" and ("authorities" in element.attrib or "crl" in element.attrib):
+            raise self._error(element, "authorities and crl are for clients='optional' or 'required'")
+        return TlsSettings(
+            (host, int(port)), self._beside(element, "certificate"), self._beside(element, "key"), clients,
+            self._beside(element, "authorities"), self._beside(element, "crl"), _text(element, "minimum"),
+        )
+
+    def _beside(self, element: etree._Element, name: str) -> str:
+        """A path beside the settings file, unless it is a whole one; empty where it is not told."""
+        return str(Path(self._path).parent / _text(element, name)) if name in element.attrib else ""
+
     def _identity(self, element: etree._Element) -> Identity:
         strangers = self._child(element, "strangers")
         stranger = None
@@ -142,7 +167,8 @@
                 TokenMatch(_text(it, "issuer"), _text(it, "audience"), _text(it, "subject"))
                 for it in self._children(child, "token")
             )
-            rules.append(CallerRule(caller, tokens, line))
+            names = tuple(_text(it, "name") for it in self._children(child, "certificate"))
+            rules.append(CallerRule(caller, tokens, line, names))
         if "stranger" in callers:
             raise SettingsError(
                 self._path, callers["stranger"][1],
@@ -153,10 +179,10 @@
         standing = _text(element, "standing")
         within = duration(standing.partition("=")[2]) if standing != "keep" else None
         return Identity(
-            # Beside the settings file unless it says otherwise.
-            keys=str(Path(self._path).parent / _text(element, "keys")),
+            keys=self._beside(element, "keys"),
             rules=tuple(rules),
-            denied=tuple(_text(it, "subject") for it in self._children(element, "deny")),
+            denied=self._denied(element, "subject"),
+            denied_certificates=frozenset(self._denied(element, "fingerprint")),
             stranger=stranger,
             skew=self._skew(element),
             move_within=within,
@@ -164,6 +190,12 @@
             suspect_checks=rate(_text(element, "suspect-checks")),
         )
 
+    def _denied(self, element: etree._Element, by: str) -> tuple[str, ...]:
+        for it in self._children(element, "deny"):
+            if len(it.attrib) != 1:
+                raise self._error(it, "deny names either a subject or a fingerprint")
+        return tuple(_text(it, by) for it in self._children(element, "deny") if by in it.attrib)
+
     def _skew(self, element: etree._Element) -> float:
         skew = duration(_text(element, "skew"))
         if skew > 300.0:
--- a/ironmill/settings/model.py
+++ b/ironmill/settings/model.py
@@ -15,6 +15,19 @@
     level: str = "info"
 
 
+@dataclass(frozen=True, slots=True)
+class TlsSettings:
+    """A listener for clients that speak TLS. Paths are whole."""
+
+    listen: tuple[str, int]
+    certificate: str
+    key: str
+    clients: str = "none"  # whether they show a certificate: none, optional or required
+    authorities: str = ""
+    crl: str = ""
+    minimum: str = "1.2"
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
     """One settings file, whole."""
@@ -22,6 +35,7 @@
     path: str
     log: LogSettings | None = None
     identity: Identity | None = None
+    tls: TlsSettings | None = None
 
 
 class SettingsError(Exception):
--- a/ironmill_lab/__main__.py
+++ b/ironmill_lab/__main__.py
@@ -2,7 +2,8 @@
 
 Usage:
   ironmill_lab demo [--stay] [--clients=N] [--settings=FILE]
-  ironmill_lab call HOST:PORT [--token=TOKEN] [--class=NAME]
+  ironmill_lab call HOST:PORT [--token=TOKEN] [--class=NAME] [--tls=FILE] [--certificate=PATH]
+  ironmill_lab certificates DIR
   ironmill_lab measure NAME [--quick] [--poller=NAME] [--program=DIR]
   ironmill_lab emulate [--hosts=N]
   ironmill_lab floor KIND --target=HOST:PORT
@@ -14,6 +15,8 @@
   --settings=FILE  Operators' settings for the demonstration's proxy.
   --token=TOKEN  What the one client of call shows; - reads it from standard input.
   --class=NAME   What it asks for [default: index-sync].
+  --tls=FILE     It speaks TLS, and trusts the authorities in this file.
+  --certificate=PATH  It shows the certificate PATH.crt, whose key is PATH.key.
   --quick        Smaller sizes: done within a minute.
   --poller=NAME  What the proxy waits with: epoll or poll [default: epoll].
   --program=DIR  Measure the proxy of another checkout, found in this folder.
@@ -56,7 +59,14 @@
     if words["call"]:
         from ironmill_lab import call
 
-        return call.run(words["HOST:PORT"], words["--token"] or "", words["--class"])
+        return call.run(
+            words["HOST:PORT"], words["--token"] or "", words["--class"], words["--tls"] or "",
+            words["--certificate"] or "",
+        )
+    if words["certificates"]:
+        from ironmill_lab import certificates
+
+        return certificates.write_all(Path(words["DIR"]))
     from ironmill_lab import measure
 
     program = Path(words["--program"]).resolve() if words["--program"] else None
--- a/ironmill_lab/call.py
+++ b/ironmill_lab/call.py
@@ -2,24 +2,41 @@
 
 from __future__ import annotations
 
+import socket
+import ssl
 import sys
+import time
 
 from ironmill.net.sockets import TimedOutError
+from ironmill.net.tls import TlsStream
 from ironmill.scheduler import Scheduler
 from ironmill_lab.fleet import Client, NotServedError, play
 
 LIMIT = 15.0  # seconds
 
 
-def run(address: str, token: str, class_name: str) -> int:
-    """Status 0 if the connection was served and its line came back, 1 if not."""
+def run(address: str, token: str, class_name: str, authorities: str, certificate: str) -> int:
+    """Status 0 if the connection was served and its line came back, 1 if not.
+
+    With ``authorities``, a path, it speaks TLS to a server for localhost, and shows the ``certificate``, a
+    path without its .crt, if there is one.
+    """
     host, _, port = address.rpartition(":")
     shown = sys.stdin.readline() if token == "-" else token
     scheduler = Scheduler()
     client = Client(scheduler, (host, int(port)), class_name)
+    context = None
+    if authorities:
+        context = ssl.create_default_context(cafile=authorities)
+        if certificate:
+            context.load_cert_chain(f"{certificate}.crt", f"{certificate}.key")
 
     def story() -> int:
         try:
+            if context is not None:
+                sock = socket.create_connection((host, int(port)))
+                client.stream = stream = TlsStream(scheduler, sock, context, False, "localhost")
+                stream.shake(time.monotonic() + LIMIT)
             client.open(token=shown.strip().encode())
             print(f"UP at {client.host}; a line came back: {client.ask(b'hello').decode()}")
         except NotServedError as error:
--- a/ironmill_lab/fleet.py
+++ b/ironmill_lab/fleet.py
@@ -42,7 +42,8 @@
         """Ask and wait for UP. NotServedError for another answer, OSError or TimedOutError for none."""
         number = next(_serial)
         listed = "".join(f",{name}={value}" for name, value in fields.items())
-        self.stream = Stream.connect(self._scheduler, self._address, CONNECT_WAIT)
+        if self.stream is None:  # else it was connected, and made secure, before
+            self.stream = Stream.connect(self._scheduler, self._address, CONNECT_WAIT)
         first = f"OPEN {number:x} {number * 2654435761 % 2**32:x} c={self._class},d={wait * 1000:.0f}{listed}"
         shown = b"AUTH " + token + END if token else b""
         self.stream.send(shown + first.encode() + END, CONNECT_WAIT)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -664,6 +664,16 @@
         scheduler.sleep(1.0)
 
 
+def test_a_stream_that_nobody_closed_does_not_spoil_the_next_one_of_its_number() -> None:
+    def story(town: Town) -> None:
+        for _ in range(20):
+            client = town.client(b"PING\r\n")
+            assert read_line(client) == b"PONG\r\n"
+            del client
+
+    Town().run(story)
+
+
 def test_a_connection_that_never_comes_up_times_out() -> None:
     def story(town: Town) -> None:
         full = socket.socket()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -85,6 +85,49 @@
     assert "urn:ironmill" not in told
 
 
+def test_a_listener_for_tls(tmp_path: Path) -> None:
+    text = '<tls listen="127.0.0.1:0" certificate="a" key="/k/a" clients="optional" authorities="ca"/>'
+    tls = load_settings(file(tmp_path, text), CLASSES).tls
+    assert tls is not None
+    assert (tls.listen, tls.certificate, tls.key) == (("127.0.0.1", 0), str(tmp_path / "a"), "/k/a")
+    assert (tls.clients, tls.authorities, tls.crl) == ("optional", str(tmp_path / "ca"), "")
+    assert tls.minimum == "1.2"
+
+
+@pytest.mark.parametrize(
+    ("attributes", "wrong"),
+    [
+        ('listen="here"', "as in 127.0.0.1:3443"), ('listen="127.0.0.1:70000"', "a port is 0 to 65535"),
+        ('listen="127.0.0.1:1" clients="some"', "'optional', 'required'"),
+        ('listen="127.0.0.1:1" clients="required"', "needs authorities"),
+        ('listen="127.0.0.1:1" crl="x"', "are for clients='optional'"),
+        ('listen="127.0.0.1:1" minimum="1.1"', "'1.2', '1.3'"),
+    ],
+)
+def test_a_wrong_listener_for_tls_is_one_line(attributes: str, wrong: str, tmp_path: Path) -> None:
+    with pytest.raises(SettingsError, match=r"settings\.xml:2: ") as caught:
+        load_settings(file(tmp_path, f'<tls certificate="a" key="b" {attributes}/>'), CLASSES)
+    assert wrong in str(caught.value)
+
+
+def test_rules_by_certificate_and_who_is_denied(tmp_path: Path) -> None:
+    print_ = "ab" * 32
+    rules = '<caller name="a" tenant="t"><certificate name="dns:*.farm.example"/></caller>'
+    text = IDENTITY.format(f'<deny fingerprint="{print_}"/><deny subject="x"/>{rules}')
+    identity = load_settings(file(tmp_path, text), CLASSES).identity
+    assert identity is not None
+    assert identity.rules[0].names == ("dns:*.farm.example",)
+    assert (identity.denied, identity.denied_certificates) == (("x",), frozenset({print_}))
+    for wrong, told in (
+        (rules.replace("dns:", ""), "as in dns:*.farm.example"),
+        ('<deny fingerprint="AB"/>' + rules, "64 digits"),
+        ("<deny/>" + rules, "either a subject or a fingerprint"),
+    ):
+        with pytest.raises(SettingsError) as caught:
+            load_settings(file(tmp_path, IDENTITY.format(wrong)), CLASSES)
+        assert told in str(caught.value)
+
+
 @pytest.mark.parametrize(
     ("data", "wrong"),
     [
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,549 @@
+"""TLS to clients: the same rules as in plain, handshakes that fail in every way, and who a certificate is."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import signal
+import socket
+import ssl
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from ironmill.callers import Callers
+from ironmill.commands.keys import KeyStore
+from ironmill.identity.keyring import KeyRing
+from ironmill.identity.rules import Caller, CallerRule, Identity, Rights
+from ironmill.net import client as client_module
+from ironmill.net.listener import Listener
+from ironmill.net.sockets import Stream, TimedOutError
+from ironmill.net.tls import TlsStream
+from ironmill.protocol.tls import HANDSHAKE_MOST, TlsError, TlsSide, TlsState
+from ironmill.scheduler import Scheduler
+from ironmill.settings.model import TlsSettings
+from ironmill.tls_context import server_tls
+from ironmill_lab import call, certificates
+from ironmill_lab.certificates import DAY, NOW, Authority, fingerprint
+from ironmill_lab.fleet import Client, NotServedError, play
+from ironmill_lab.processes import Neighbours, ProxyProcess, free_port
+from ironmill_lab.settings import platform_settings, proxy_config, write_config
+from stonegap.settings import MalformedError
+from tests.test_net import OPEN, Town, read_line
+
+
+@pytest.fixture(autouse=True)
+def _short_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Issuer hosts that the tests play do not end by themselves once their client has."""
+    monkeypatch.setattr(client_module, "HALF_CLOSED_WAIT", 0.2)
+
+
+@pytest.fixture(scope="module")
+def authority(tmp_path_factory: pytest.TempPathFactory) -> Authority:
+    it = Authority(tmp_path_factory.mktemp("tls"))
+    it.certificate("server", "localhost")
+    return it
+
+
+def settings(authority: Authority, **changes: Any) -> TlsSettings:
+    folder = authority.folder
+    fields: dict[str, Any] = {
+        "listen": ("127.0.0.1", 0), "certificate": str(folder / "server.crt"),
+        "key": str(folder / "server.key"), "clients": "none",
+    }
+    return TlsSettings(**(fields | changes))
+
+
+class TlsTown(Town):
+    """A town whose proxy speaks TLS to its clients."""
+
+    def __init__(self, authority: Authority, callers: Identity | None = None, **changes: Any) -> None:
+        super().__init__()
+        self.listener.close()
+        self.authority = authority
+        self.context = server_tls(settings(authority, **changes)).context
+        if callers is not None:
+            self.callers = Callers(callers, KeyRing(), self.scheduler)
+        self.listener = Listener(
+            self.scheduler, ("127.0.0.1", 0), self._take,
+            lambda scheduler, sock: TlsStream(scheduler, sock, self.context),
+        )
+
+    def secure(self, *shown: str, context: ssl.SSLContext | None = None) -> TlsStream:
+        """A client's stream after its handshake."""
+        sock = socket.create_connection(self.listener.address)
+        context = context or self.authority.client(*shown)
+        stream = TlsStream(self.scheduler, sock, context, server=False, name="localhost")
+        stream.shake(time.monotonic() + 5.0)
+        return stream
+
+    def stand(self, *shown: str) -> tuple[TlsStream, Stream]:
+        client = self.secure(*shown)
+        client.send(OPEN.replace(b"1a", b"%x" % random.getrandbits(60)))
+        leg = self.leg()
+        assert read_line(leg).startswith(b"OPEN ")
+        leg.send(b"UP r1\r\n")
+        assert read_line(client) == b"UP r1\r\n"
+        return client, leg
+
+
+def until_gone(town: Town) -> None:
+    town.until(lambda: not town.gateway.busy() and town.admission.used() == 0)
+
+
+def test_bytes_go_on_unchanged_both_ways_and_the_issuer_hosts_end_comes_through(authority: Authority) -> None:
+    data = random.Random(3).randbytes(700_000).replace(b"\r\n", b"--") + b"\r\n"
+
+    def story(town: Town) -> None:
+        assert isinstance(town, TlsTown)
+        client, leg = town.stand()
+        for source, to in ((client, leg), (leg, client)):
+            town.scheduler.spawn(source.send, data)
+            came = b""
+            while len(came) < len(data):
+                came += to.receive(5.0)
+            assert came == data
+        leg.send(b"BYE\r\n")
+        leg.close_gently(1.0)
+        assert read_line(client) == b"BYE\r\n"
+        assert client.receive(5.0) == b""  # said, and not cut off
+        client.close()
+        until_gone(town)
+        assert town.gateway.counts["standing OK"] == 1
+
+    TlsTown(authority).run(story)
+
+
+def test_a_client_that_does_not_read_holds_its_issuer_host_back(authority: Authority) -> None:
+    """The rule on bounded buffers holds through TLS."""
+    def story(town: Town) -> None:
+        assert isinstance(town, TlsTown)
+        client, leg = town.stand()
+        sent = 0
+        with pytest.raises(TimedOutError):
+            while sent < 1 << 28:
+                sent += leg.send_some(b"x" * 65536, 0.3)
+        assert sent < 1 << 25
+        came = 0
+        while came < sent:
+            came += len(client.receive(5.0))
+        client.close()
+        until_gone(town)
+
+    TlsTown(authority).run(story)
+
+
+def end_with_close_notify(client: TlsStream) -> None:
+    client.close()
+
+
+def end_without_close_notify(client: TlsStream) -> None:
+    client._sock.shutdown(socket.SHUT_RDWR)
+
+
+def end_by_reset(client: TlsStream) -> None:
+    client.abort()
+
+
+def end_by_rubbish(client: TlsStream) -> None:
+    client._sock.send(b"rubbish that is no record at all")
+
+
+@pytest.mark.parametrize(
+    "end", [end_with_close_notify, end_without_close_notify, end_by_reset, end_by_rubbish]
+)
+def test_however_a_client_ends_its_leg_ends_and_nothing_is_left(
+    authority: Authority, end: Callable[[TlsStream], None]
+) -> None:
+    def story(town: Town) -> None:
+        assert isinstance(town, TlsTown)
+        client, leg = town.stand()
+        end(client)
+        with contextlib.suppress(ConnectionResetError):
+            assert leg.receive(5.0) == b""
+        leg.close()
+        until_gone(town)
+        assert town.gateway.counts["standing CANCELLED"] == 1
+
+    TlsTown(authority).run(story)
+
+
+def test_a_half_closed_client_still_gets_what_comes(authority: Authority) -> None:
+    def story(town: Town) -> None:
+        assert isinstance(town, TlsTown)
+        client, leg = town.stand()
+        client.finish()
+        assert leg.receive(5.0) == b""
+        leg.send(b"late\r\n")
+        assert read_line(client) == b"late\r\n"
+        leg.close()
+        until_gone(town)
+
+    TlsTown(authority).run(story)
+
+
+def test_an_issuer_host_that_breaks_breaks_the_client(authority: Authority) -> None:
+    def story(town: Town) -> None:
+        assert isinstance(town, TlsTown)
+        client, leg = town.stand()
+        leg.abort()
+        with pytest.raises(ConnectionError):
+            client.receive(5.0)
+        until_gone(town)
+
+    TlsTown(authority).run(story)
+
+
+def hello(authority: Authority) -> bytes:
+    return TlsSide(authority.client(), False, "localhost").outgoing()
+
+
+HOSTILE: dict[str, Callable[[bytes], list[bytes]]] = {
+    "half a hello": lambda first: [first[: len(first) // 2]],
+    "nothing": lambda first: [],
+    "plain lines": lambda first: [OPEN],
+    "HTTP": lambda first: [b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"],
+    "a record that is too long": lambda first: [b"\x16\x03\x01\xff\xff" + b"x" * 70_000],
+    "hellos without end": lambda first: [first] * 2000,
+    "60 MB of rubbish": lambda first: [bytes(range(256)) * 240] * 1000,
+    "records of nothing": lambda first: [b"\x16\x03\x01\x00\x00"] * 30_000,
+}
+
+
+@pytest.mark.parametrize("name", sorted(HOSTILE))
+def test_a_handshake_that_is_none_is_closed_and_the_others_are_served(
+    authority: Authority, name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(client_module, "FIRST_LINE_WAIT", 0.5)
+    pieces = HOSTILE[name](hello(authority))
+
+    def story(town: Town) -> None:
+        assert isinstance(town, TlsTown)
+        bad = Stream.connect(town.scheduler, town.listener.address, 1.0)
+
+        def flood() -> None:
+            try:
+                for piece in pieces:
+                    bad.send(piece, 5.0)
+            except (OSError, TimedOutError):
+                pass
+
+        town.scheduler.spawn(flood)
+        client, _ = town.stand()
+        client.close()
+        try:
+            while bad.receive(5.0):
+                pass
+        except ConnectionError:
+            pass
+        town.scheduler.sleep(0.01)
+        bad.close()
+        until_gone(town)
+
+    TlsTown(authority).run(story)
+
+
+def test_a_handshake_that_drips_has_the_time_of_a_first_line(
+    authority: Authority, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(client_module, "FIRST_LINE_WAIT", 0.3)
+    ended: list[bool] = []
+
+    def story(town: Town) -> None:
+        bad = Stream.connect(town.scheduler, town.listener.address, 1.0)
+        with pytest.raises(OSError):
+            for at in range(10_000):
+                bad.send(hello(authority)[at : at + 1] or b"x")
+                town.scheduler.sleep(0.005)
+        ended.append(True)
+        bad.close()
+        until_gone(town)
+
+    TlsTown(authority).run(story)
+    assert ended
+
+
+def test_no_common_version_and_an_unknown_server(authority: Authority, tmp_path: Path) -> None:
+    old = authority.client()
+    old.maximum_version = ssl.TLSVersion.TLSv1_2
+
+    def story(town: Town) -> None:
+        assert isinstance(town, TlsTown)
+        for context in (old, Authority(tmp_path, "other").client()):
+            with pytest.raises(OSError):
+                town.secure(context=context)
+        until_gone(town)
+        assert town.gateway.counts.get("authorisations", 0) == 0
+
+    TlsTown(authority, minimum="1.3").run(story)
+
+
+RULES = (
+    CallerRule(Caller("farms", "community", Rights()), names=("dns:*.farm.example",)),
+    CallerRule(Caller("mirrors", "mirrors", Rights()), names=("dns:mirror.example", "uri:x")),
+)
+
+
+@pytest.fixture(scope="module")
+def shown(authority: Authority, tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[str, str]]:
+    other = Authority(tmp_path_factory.mktemp("other"), "other")
+    return {
+        "good": authority.certificate("good", "a.farm.example"),
+        "expired": authority.certificate("expired", "a.farm.example", until=NOW - DAY / 2),
+        "revoked": authority.certificate("revoked", "b.farm.example"),
+        "denied": authority.certificate("denied", "c.farm.example"),
+        "nobody": authority.certificate("nobody", "a.example"),
+        "nameless": authority.certificate("nameless"),
+        "foreign": other.certificate("foreign", "a.farm.example"),
+    }
+
+
+def answers(town: TlsTown, pair: tuple[str, str]) -> str:
+    try:
+        client = town.secure(*pair)
+        client.send(OPEN.replace(b"1a", b"%x" % random.getrandbits(60)))
+        if not town.arrived:
+            town.scheduler.sleep(0.05)
+        if town.arrived:
+            leg = town.leg()
+            leg.send(b"UP r1\r\n")
+        line = read_line(client)
+        client.close()
+    except OSError:
+        return "closed"
+    return line.decode().strip()
+
+
+def test_who_a_certificate_is(authority: Authority, shown: dict[str, tuple[str, str]]) -> None:
+    identity = Identity("", RULES, denied_certificates=frozenset({fingerprint(shown["denied"][0])}))
+    told: dict[str, str] = {}
+
+    def story(town: Town) -> None:
+        assert isinstance(town, TlsTown)
+        assert town.callers is not None
+        for name, pair in shown.items():
+            told[name] = answers(town, pair)
+        counts = town.callers.counts()
+        assert [counts[f"refused {it}"] for it in ("denied", "no caller", "malformed")] == [1, 1, 1]
+        until_gone(town)
+
+    TlsTown(
+        authority, identity, clients="required", authorities=str(authority.path),
+        crl=authority.revocations("revoked"),
+    ).run(story)
+    assert told == {
+        "good": "UP r1", "expired": "closed", "revoked": "closed", "denied": "ERR", "nobody": "ERR",
+        "nameless": "ERR", "foreign": "closed",
+    }
+
+
+def test_a_certificate_is_denied_while_its_connection_stands(
+    authority: Authority, shown: dict[str, tuple[str, str]]
+) -> None:
+    identity = Identity("", RULES, move_within=0.05)
+
+    def story(town: Town) -> None:
+        assert isinstance(town, TlsTown)
+        assert town.callers is not None
+        denied, _ = town.stand(*shown["denied"])
+        good, leg = town.stand(*shown["good"])
+        without = Identity(
+            "", RULES, move_within=0.05, denied_certificates=frozenset({fingerprint(shown["denied"][0])})
+        )
+        town.callers.replace(without, KeyRing())
+        assert read_line(denied) == b"MOVE\r\n"
+        good.send(b"hey\r\n")
+        assert read_line(leg) == b"hey\r\n"
+        assert town.callers._usage.connections("farms") >= 1
+
+    TlsTown(authority, identity, clients="optional", authorities=str(authority.path)).run(story)
+
+
+def test_a_session_is_resumed_and_after_another_certificate_it_is_not(authority: Authority) -> None:
+    context = authority.client()
+    context.maximum_version = ssl.TLSVersion.TLSv1_2  # where the session is there once the handshake is
+
+    def again(town: TlsTown, session: ssl.SSLSession | None) -> tuple[bool, ssl.SSLSession | None]:
+        sock = socket.create_connection(town.listener.address)
+        stream = TlsStream(town.scheduler, sock, context, False, "localhost", session)
+        stream.shake(time.monotonic() + 5.0)
+        stream.send(b"PING\r\n")
+        assert read_line(stream) == b"PONG\r\n"
+        found = stream.side.resumed, stream.side.session
+        stream.close()
+        return found
+
+    def story(town: Town) -> None:
+        assert isinstance(town, TlsTown)
+        first, session = again(town, None)
+        second, session = again(town, session)
+        authority.certificate("server", "localhost")
+        town.context = server_tls(settings(authority)).context
+        third, _ = again(town, session)
+        assert (first, second, third) == (False, True, False)
+
+    TlsTown(authority).run(story)
+
+
+def test_files_that_will_not_do_for_tls(authority: Authority, tmp_path: Path) -> None:
+    server_tls(settings(authority))
+    rubbish = tmp_path / "rubbish.pem"
+    rubbish.write_text("rubbish")
+    rubbish.chmod(0o600)
+    open_key = tmp_path / "open.key"
+    open_key.write_bytes((authority.folder / "server.key").read_bytes())
+    open_key.chmod(0o644)
+    optional = {"clients": "optional", "authorities": str(authority.path)}
+    for changes, wrong in (
+        ({"certificate": str(tmp_path / "none")}, "cannot be read"),
+        ({"key": str(rubbish)}, "is no certificate"),
+        ({"key": str(open_key)}, "it must be 0600"),
+        (optional | {"authorities": str(rubbish)}, "holds nothing"),
+        (optional | {"crl": str(rubbish)}, "holds nothing"),
+    ):
+        with pytest.raises(MalformedError, match=wrong):
+            server_tls(settings(authority, **changes))
+
+
+SETTINGS = """<ironmill xmlns="urn:ironmill:settings:1">
+  <identity keys="ring.json" standing="move-within=100ms">
+    <caller name="farms" tenant="community"><certificate name="dns:*.farm.example"/></caller>
+  </identity>
+  <tls listen="127.0.0.1:{}" certificate="server.crt" key="server.key" clients="required"
+      authorities="authority.pem"/>
+</ironmill>
+"""
+
+
+def test_a_proxy_whose_certificate_is_replaced_while_a_connection_stands(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    certificates.write_all(tmp_path)
+    KeyStore(tmp_path).new("a", "EdDSA")
+    port = free_port()
+    (tmp_path / "settings.xml").write_text(SETTINGS.format(port))
+    scheduler = Scheduler()
+
+    def connect() -> TlsStream:
+        context = ssl.create_default_context(cafile=str(tmp_path / "authority.pem"))
+        context.load_cert_chain(tmp_path / "farm.crt", tmp_path / "farm.key")
+        sock = socket.create_connection(("127.0.0.1", port))
+        stream = TlsStream(scheduler, sock, context, False, "localhost")
+        stream.shake(time.monotonic() + 5.0)
+        return stream
+
+    def story(proxy: ProxyProcess) -> None:
+        client = Client(scheduler, proxy.address)
+        client.stream = stands = connect()
+        client.open()
+        first = stands.certificate()
+        certificates.write_all(tmp_path)  # another authority, too
+        proxy.popen.send_signal(signal.SIGHUP)
+        while True:
+            try:
+                later = connect()
+            except OSError:
+                scheduler.sleep(0.02)  # it still shows the old one, which the new authority did not sign
+                continue
+            assert later.certificate() != first
+            later.close()
+            break
+        assert client.ask(b"hey") == b"hey"
+        client.close()
+        # In plain nothing has changed, but that nobody is known there.
+        with pytest.raises(NotServedError, match="ERR"):
+            Client(scheduler, proxy.address).open()
+
+    with Neighbours(tmp_path, 2) as neighbours:
+        config = proxy_config(
+            "p", ("127.0.0.1", free_port()), neighbours.discovery, 1024, platform_settings()
+        )
+        more = [f"--settings={tmp_path / 'settings.xml'}"]
+        with ProxyProcess(write_config(tmp_path, config), tmp_path, more=more) as proxy:
+            proxy.wait_ready()
+            play(scheduler, lambda: story(proxy), 30.0)
+            word = (f"127.0.0.1:{port}", "", "index-sync", str(tmp_path / "authority.pem"))
+            assert call.run(*word, str(tmp_path / "farm")) == 0
+            assert call.run(*word, "") == 1
+            assert proxy.end() == 0
+    assert "a line came back: hello" in capsys.readouterr().out
+
+
+class TlsModel(RuleBasedStateMachine):
+    """Two sides that are fed each other's records in random pieces: what goes in comes out, in order."""
+
+    authority: Authority
+
+    def __init__(self) -> None:
+        super().__init__()
+        authority = type(self).authority
+        self.client = TlsSide(authority.client(), False, "localhost")
+        self.server = TlsSide(server_tls(settings(authority)).context, True)
+        self.wires = {"client": bytearray(), "server": bytearray()}
+        self.sent = {"client": b"", "server": b""}
+        self.came = {"client": b"", "server": b""}
+        self.ended: set[str] = set()
+
+    def side(self, who: str) -> TlsSide:
+        return self.client if who == "client" else self.server
+
+    @rule(who=st.sampled_from(["client", "server"]), size=st.sampled_from([1, 5, 100, 1000, 20_000]))
+    def carry(self, who: str, size: int) -> None:
+        """Some of what one side has written reaches the other, which reads all it can."""
+        other = "server" if who == "client" else "client"
+        self.wires[who] += self.side(who).outgoing()
+        piece = bytes(self.wires[who][:size])
+        del self.wires[who][:size]
+        if piece:
+            self.side(other).receive(piece)
+        while data := self.side(other).read():
+            self.came[other] += data
+        assert self.sent[who].startswith(self.came[other])
+        if self.side(other).state is TlsState.ENDED:
+            assert who in self.ended
+            assert self.came[other] == self.sent[who]
+
+    @precondition(lambda self: self.client.state is not TlsState.HANDSHAKE)
+    @rule(who=st.sampled_from(["client", "server"]), data=st.binary(min_size=1, max_size=40_000))
+    def write(self, who: str, data: bytes) -> None:
+        side = self.side(who)
+        if side.state is TlsState.HANDSHAKE:
+            return
+        if who in self.ended:
+            with pytest.raises(TlsError):
+                side.write(data)
+            return
+        side.write(data)
+        self.sent[who] += data
+
+    @rule(who=st.sampled_from(["client", "server"]))
+    def finish(self, who: str) -> None:
+        if self.side(who).state is not TlsState.HANDSHAKE:
+            self.ended.add(who)
+        self.side(who).finish()
+
+    def teardown(self) -> None:
+        for _ in range(40):
+            for who in ("client", "server"):
+                self.carry(who, 1 << 20)
+        assert self.came == {"client": self.sent["server"], "server": self.sent["client"]}
+
+
+def test_two_sides_by_a_model(authority: Authority) -> None:
+    TlsModel.authority = authority
+    case: Any = TlsModel.TestCase()
+    case.runTest()
+
+
+def test_a_handshake_is_bounded(authority: Authority) -> None:
+    side = TlsSide(server_tls(settings(authority)).context, True)
+    with pytest.raises(TlsError):
+        for _ in range(HANDSHAKE_MOST):
+            side.receive(b"\x16\x03\x01\x00\x00")
+    assert side.state is TlsState.FAILED
+    assert side.read() == b""
