TLS to issuer hosts, and figures of handshakes beside a bare server

Callers could come by TLS while their lines went on in plain. By setting, legs and probes now speak TLS to issuer hosts, checked against an authority and a name. The handshake counts as a leg's first byte, so it is asked for like the first line: a test found that closing a stream whose handshake had not begun still sent the hello, to a host that was leaving; it sends nothing now (net/tls.py, _say_end). A handshake that fails has never run.

--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -12,12 +12,13 @@
 import math
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from ironmill.admission import Admission, Ticket
 from ironmill.config import Config
 from ironmill.gateway import Authorisation, Gateway, Leg
-from ironmill.net.issuer_host import LegDriver, LegEnd
+from ironmill.net.issuer_host import Dial, LegDriver, LegEnd
 from ironmill.net.sockets import Stream, TimedOutError
 from ironmill.protocol.client import (
     Asked,
@@ -88,19 +89,20 @@
     """Owns the client's socket and the leg's; a ``Holder`` to the gateway."""
 
     __slots__ = (
-        "_admission", "_authorisation", "_client_ended", "_config", "_driver", "_first", "_first_by",
+        "_admission", "_authorisation", "_client_ended", "_config", "_dial", "_driver", "_first", "_first_by",
         "_gateway", "_guest", "_leg", "_leg_task", "_move_wanted", "_reader", "_scheduler", "_side",
         "_stream", "_ticket", "_writing",
     )
 
     def __init__(
         self, scheduler: Scheduler, gateway: Gateway, config: Config, admission: Admission, stream: Stream,
-        callers: Callers | None = None,
+        callers: Callers | None = None, dial: Dial | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._gateway = gateway
         self._config = config
         self._admission = admission
+        self._dial = dial or partial(Stream.connect, scheduler)
         self._ticket: Ticket | None = None
         self._stream = stream
         self._side = ClientSide(may_show=callers is not None)
@@ -346,7 +348,7 @@
         first = self._first
         assert first is not None
         line = first.with_wait(max(1, int(leg.timeout * 1000.0)))
-        driver = LegDriver(self._scheduler, line)
+        driver = LegDriver(self._dial, line)
         self._driver = driver
         driver.run(
             self, leg.host.address, self._config.connect_timeout, leg.timeout,
@@ -359,7 +361,7 @@
         while time.monotonic() < deadline:
             host = self._gateway.issuer_host(first.fields["at"])
             if host is not None:
-                self._driver = LegDriver(self._scheduler, first.raw)
+                self._driver = LegDriver(self._dial, first.raw)
                 left = deadline - time.monotonic()
                 self._driver.run(self, host.address, self._config.connect_timeout, left, lambda: True)
                 if self._driver.side.stood:
--- a/ironmill/net/issuer_host.py
+++ b/ironmill/net/issuer_host.py
@@ -9,7 +9,7 @@
 
 from ironmill.net.sockets import Stream, TimedOutError
 from ironmill.protocol.issuer_host import Declined, IssuerHostSide, LegEvent, Relayed, Report, Up
-from ironmill.scheduler import Scheduler, Task
+from ironmill.scheduler import Task
 from stonegap.interface import Outcome
 
 
@@ -40,16 +40,20 @@
         """The issuer host has ended the leg, or it never stood."""
 
 
+# Connects to an address within so many seconds. What comes before the first byte is the stream's ``shake``.
+Dial = Callable[[tuple[str, int], float], Stream]
+
+
 class LegDriver:
     """Runs one leg: in the task that calls ``run`` until it stands, from then on in one whenever bytes come.
 
     It does not keep its owner, who keeps it: two that know each other are freed late.
     """
 
-    __slots__ = ("_scheduler", "side", "stream", "task")
+    __slots__ = ("_dial", "side", "stream", "task")
 
-    def __init__(self, scheduler: Scheduler, first_line: bytes) -> None:
-        self._scheduler = scheduler
+    def __init__(self, dial: Dial, first_line: bytes) -> None:
+        self._dial = dial
         self.side = IssuerHostSide(first_line)
         self.stream: Stream | None = None
         self.task: Task | None = None  # relays, or waits for what there is to relay
@@ -65,9 +69,13 @@
         deadline = time.monotonic() + timeout
         line, broke = b"", False
         try:
-            self.stream = Stream.connect(self._scheduler, address, min(connect_timeout, timeout))
-            # Guards the rule on draining: its time counts at the leg's first byte, not at the order.
-            answer = self._ask(self.stream, deadline) if may_start() else None
+            self.stream = self._dial(address, min(connect_timeout, timeout))
+            # Guards the rule on draining: its time counts at the leg's first byte, not at the order. With TLS
+            # a handshake comes first, and is asked for as well.
+            answer = None
+            if may_start():
+                self.stream.shake(min(deadline, time.monotonic() + connect_timeout))
+                answer = self._ask(self.stream, deadline) if may_start() else None
             if isinstance(answer, Up):
                 if owner.leg_up(self, answer.data):  # else the owner has ended it all
                     self._relay(owner, self.stream, answer.later)
--- a/ironmill/net/probe.py
+++ b/ironmill/net/probe.py
@@ -4,7 +4,9 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 
+from ironmill.net.issuer_host import Dial
 from ironmill.net.sockets import Stream, TimedOutError
 from ironmill.protocol.issuer_host import ProbeSide, Report
 from ironmill.routing_table import IssuerHost
@@ -22,8 +24,10 @@
         scheduler: Scheduler,
         connect_timeout: float,
         tell: Callable[[IssuerHost, Outcome, Report], None],
+        dial: Dial | None = None,
     ) -> None:
         self._scheduler = scheduler
+        self._dial = dial or partial(Stream.connect, scheduler)
         self._connect_timeout = connect_timeout
         self._tell = tell
         self._streams: dict[int, Stream] = {}
@@ -51,8 +55,9 @@
 
     def _ask(self, host: IssuerHost) -> tuple[Outcome, Report]:
         if host.number not in self._streams:
-            stream = Stream.connect(self._scheduler, host.address, self._connect_timeout)
+            stream = self._dial(host.address, self._connect_timeout)
             self._streams[host.number] = stream
+            stream.shake(time.monotonic() + self._connect_timeout)
         stream, side = self._streams[host.number], ProbeSide()
         deadline = time.monotonic() + ANSWER_WAIT
         stream.send(side.QUESTION, ANSWER_WAIT)
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -12,7 +12,7 @@
 
 from ironmill import logs
 from ironmill.admission import Admission
-from ironmill.config import Config
+from ironmill.config import Address, Config
 from ironmill.garbage import Collector
 from ironmill.gateway import Gateway
 from ironmill.net.client import ClientDriver
@@ -48,7 +48,9 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
         self.scheduler = Scheduler(poller)
         self.gateway = Gateway(config, self.scheduler)
-        self.gateway.prober = ProbeDriver(self.scheduler, config.connect_timeout, self.gateway.probed)
+        self.gateway.prober = ProbeDriver(
+            self.scheduler, config.connect_timeout, self.gateway.probed, self._dial
+        )
         self.discovery = Discovery(self.scheduler, config.discovery, self.gateway.routing)
         self.admission = Admission(config.sockets)
         self.callers: Callers | None = None
@@ -99,9 +101,20 @@
 
     def _take(self, stream: Stream) -> None:
         ClientDriver(
-            self.scheduler, self.gateway, self._config, self.admission, stream, self.callers
+            self.scheduler, self.gateway, self._config, self.admission, stream, self.callers, self._dial
         ).start()
 
+    def _dial(self, address: Address, timeout: float) -> Stream:
+        """A connection to an issuer host, with TLS on it where the settings of now ask for that."""
+        stream = Stream.connect(self.scheduler, address, timeout)
+        operator = self._operator
+        if operator is None or operator.upstream is None or operator.settings.upstream is None:
+            return stream
+        from ironmill.net.tls import TlsStream
+
+        name = operator.settings.upstream.name or address[0]
+        return TlsStream.over(self.scheduler, stream, operator.upstream, name)
+
     def _take_ring(self, ring: KeyRing) -> None:
         if self.callers is not None:
             self.callers.replace(self.callers.gate.identity, ring)
--- a/ironmill/net/tls.py
+++ b/ironmill/net/tls.py
@@ -35,6 +35,14 @@
         self._side = TlsSide(context, server, name, session)
         self._held = bytearray(self._side.outgoing())
 
+    @classmethod
+    def over(
+        cls, scheduler: Scheduler, stream: Stream, context: ssl.SSLContext, name: str
+    ) -> TlsStream:
+        """TLS on a stream that is connected, as its client; the plain one is not to be used any more."""
+        stream.closed = True  # its socket goes on in the other
+        return cls(scheduler, stream._sock, context, False, name)
+
     def shake(self, deadline: float) -> None:
         """The handshake, until the deadline on the monotonic clock.
 
@@ -123,6 +131,10 @@
         super().abort()
 
     def _say_end(self) -> None:
+        if self._side.state is TlsState.HANDSHAKE:
+            # Guards the rule on drains: a handshake that was not begun must not begin with the close.
+            self._held.clear()
+            return
         with contextlib.suppress(OSError, TlsError):  # the other side is gone, or does not keep to TLS
             self._side.finish()
             self._push()
--- a/ironmill/operator.py
+++ b/ironmill/operator.py
@@ -13,6 +13,8 @@
 from stonegap.settings import MalformedError
 
 if TYPE_CHECKING:
+    import ssl
+
     from ironmill.tls_context import ServerTls
 
 
@@ -23,6 +25,7 @@
     settings: OperatorSettings
     ring: KeyRing | None = None  # there if the settings hold an identity
     tls: ServerTls | None = None  # there if the settings hold a listener for TLS
+    upstream: ssl.SSLContext | None = None  # there if the settings ask for TLS to issuer hosts
 
 
 def read_operator(path: str, classes: Collection[str]) -> Operator:
@@ -39,11 +42,14 @@
         raise MalformedError(str(error)) from None
     identity: Identity | None = settings.identity
     ring = None if identity is None else read_ring(identity.keys)
-    if settings.tls is None:
+    if settings.tls is None and settings.upstream is None:
         return Operator(settings, ring)
-    from ironmill.tls_context import server_tls
+    from ironmill.tls_context import server_tls, upstream_tls
 
-    return Operator(settings, ring, server_tls(settings.tls))
+    return Operator(
+        settings, ring, None if settings.tls is None else server_tls(settings.tls),
+        None if settings.upstream is None else upstream_tls(settings.upstream),
+    )
 
 
 def read_ring(path: str) -> KeyRing:
--- a/ironmill/settings/load.py
+++ b/ironmill/settings/load.py
@@ -13,7 +13,7 @@
 from lxml import etree
 
 from ironmill.identity.rules import Caller, CallerRule, Identity, Rights, TokenMatch
-from ironmill.settings.model import LogSettings, OperatorSettings, SettingsError, TlsSettings
+from ironmill.settings.model import LogSettings, OperatorSettings, SettingsError, TlsSettings, UpstreamTls
 
 SIZE_MOST = 1 << 20
 NAMESPACE = "urn:ironmill:settings:1"
@@ -121,12 +121,14 @@
         self._classes = classes
 
     def build(self, root: etree._Element) -> OperatorSettings:
-        log, identity, tls = (self._child(root, name) for name in ("log", "identity", "tls"))
+        names = ("log", "identity", "tls", "issuer-hosts-tls")
+        log, identity, tls, upstream = (self._child(root, name) for name in names)
         return OperatorSettings(
             path=self._path,
             log=None if log is None else LogSettings(_text(log, "form"), _text(log, "level")),
             identity=None if identity is None else self._identity(identity),
             tls=None if tls is None else self._tls(tls),
+            upstream=None if upstream is None else self._upstream(upstream),
         )
 
     def _tls(self, element: etree._Element) -> TlsSettings:
@@ -143,6 +145,14 @@
             self._beside(element, "authorities"), self._beside(element, "crl"), _text(element, "minimum"),
         )
 
+    def _upstream(self, element: etree._Element) -> UpstreamTls:
+        if ("certificate" in element.attrib) is not ("key" in element.attrib):
+            raise self._error(element, "certificate and key go together; the proxy shows both or neither")
+        return UpstreamTls(
+            self._beside(element, "authorities"), str(element.attrib.get("name", "")),
+            self._beside(element, "certificate"), self._beside(element, "key"),
+        )
+
     def _beside(self, element: etree._Element, name: str) -> str:
         """A path beside the settings file, unless it is a whole one; empty where it is not told."""
         return str(Path(self._path).parent / _text(element, name)) if name in element.attrib else ""
--- a/ironmill/settings/model.py
+++ b/ironmill/settings/model.py
@@ -28,6 +28,16 @@
     minimum: str = "1.2"
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamTls:
+    """TLS to issuer hosts. Paths are whole."""
+
+    authorities: str
+    name: str = ""  # that their certificates are for; empty: the address that discovery tells
+    certificate: str = ""  # what the proxy shows, if anything
+    key: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
     """One settings file, whole."""
@@ -36,6 +46,7 @@
     log: LogSettings | None = None
     identity: Identity | None = None
     tls: TlsSettings | None = None
+    upstream: UpstreamTls | None = None
 
 
 class SettingsError(Exception):
--- a/ironmill_lab/floors.py
+++ b/ironmill_lab/floors.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 import socket
+import ssl
 import sys
 
 from ironmill.net.listener import Listener
@@ -20,7 +22,7 @@
 def run(kind: str, target: str) -> int:
     """Serve until killed. The first line of standard output is the port."""
     host, _, port = target.rpartition(":")
-    {"epoll": _epoll, "greenlet": _greenlet}[kind]((host, int(port)))
+    {"epoll": _epoll, "greenlet": _greenlet, "tls": _tls}[kind]((host, int(port)))
     return 0
 
 
@@ -29,6 +31,19 @@
     sys.stdout.flush()
 
 
+def _tls(target: Address) -> None:
+    """A bare echo server by ``ssl``, one connection after another; the target is the folder of its files."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(f"{target[0]}/server.crt", f"{target[0]}/server.key")
+    listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
+    _say_port(listener.getsockname())
+    while True:
+        sock, _ = listener.accept()
+        with contextlib.suppress(OSError), context.wrap_socket(sock, server_side=True) as secure:
+            while data := secure.recv(CHUNK):
+                secure.sendall(data)
+
+
 def _epoll(target: Address) -> None:
     listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
     listener.setblocking(False)
--- a/ironmill_lab/measures/identity.py
+++ b/ironmill_lab/measures/identity.py
@@ -1,8 +1,8 @@
 """What it costs to know who calls, and whether a rotation or a flood of forged tokens gets in anybody's way.
 
-Four parts: tokens checked a second, cold and from the cache; set-ups with and without a credential; a
-rotation while a crowd reconnects within 0.2 to 3 s with valid, expired, early, forged and foreign tokens;
-set-ups of valid callers while another address sends forged tokens at full speed.
+Five parts: tokens checked a second, cold and from the cache; set-ups with and without a credential; TLS, full
+and resumed, beside a bare echo server; a rotation while a crowd reconnects within 0.2 to 3 s with valid,
+expired, early, forged and foreign tokens; set-ups of valid callers while another address floods with forgeries.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import multiprocessing
 import random
 import socket
+import ssl
 import statistics
 import tempfile
 import time
@@ -21,10 +22,12 @@
 from ironmill.identity.gate import Admitted, Gate
 from ironmill.identity.rules import Caller, CallerRule, Identity, Rights, TokenMatch
 from ironmill.net.sockets import TimedOutError
+from ironmill.net.tls import TlsStream
 from ironmill.scheduler import Scheduler
+from ironmill_lab.certificates import write_all
 from ironmill_lab.credentials import AUDIENCE, BAD, ISSUER, Issuer
 from ironmill_lab.fleet import Client, NotServedError, in_parallel, play
-from ironmill_lab.processes import Neighbours, ProxyProcess, free_port
+from ironmill_lab.processes import Neighbours, Process, ProxyProcess, free_port
 from ironmill_lab.settings import platform_settings, proxy_config, write_config
 
 HOSTS = 6
@@ -53,6 +56,7 @@
         found |= _latencies("plain", plain, [b""], setups)
         tokens = [issuer.token("old", f"farm-{at}") for at in range(setups)]
         found |= _latencies("token", asked, tokens, setups)
+        found |= _tls(neighbours, folder, setups // 2, stack)
         found |= _flood(issuer, asked, setups)
         found |= _rotation(issuer, asked, CROWD_QUICK if quick else CROWD)
     for key, value in found.items():
@@ -106,6 +110,64 @@
     }
 
 
+TLS_SETTINGS = """<ironmill xmlns="urn:ironmill:settings:1">
+  <tls listen="127.0.0.1:{}" certificate="server.crt" key="server.key"/>
+</ironmill>
+"""
+
+
+def _tls(neighbours: Neighbours, folder: Path, count: int, stack: ExitStack) -> dict[str, Any]:
+    """Handshakes a second of the proxy's CPU, full and resumed, beside a bare echo server's, and memory."""
+    write_all(folder)
+    port = free_port()
+    settings = folder / "tls.xml"
+    settings.write_text(TLS_SETTINGS.format(port))
+    proxy = _proxy("tls", neighbours, folder, [f"--settings={settings}"], stack)
+    words = ["-m", "ironmill_lab", "floor", "tls", f"--target={folder}:0"]
+    floor = stack.enter_context(Process(words, folder, "floor-tls"))
+    assert floor.popen.stdout is not None
+    floor_port = int(floor.popen.stdout.readline())
+    found: dict[str, Any] = {}
+    context = ssl.create_default_context(cafile=str(folder / "authority.pem"))
+    context.maximum_version = ssl.TLSVersion.TLSv1_2  # where the session is there once the handshake is
+    scheduler = Scheduler()
+
+    def shaken(at: int, session: ssl.SSLSession | None) -> TlsStream:
+        sock = socket.create_connection(("127.0.0.1", at))
+        stream = TlsStream(scheduler, sock, context, False, "localhost", session)
+        stream.shake(time.monotonic() + 10.0)
+        return stream
+
+    def shakes(process: Process, at: int, resume: bool) -> int:
+        first = shaken(at, None)
+        session = first.side.session if resume else None
+        first.close()
+        before = process.usage().cpu
+        for _ in range(count):
+            stream = shaken(at, session)
+            if stream.side.resumed is not resume:
+                raise RuntimeError("a session was not resumed, or was where none should be")
+            stream.close()
+        return round(count / (process.usage().cpu - before))
+
+    def story() -> None:
+        for name, process, at in (("proxy", proxy, port), ("floor", floor, floor_port)):
+            for kind, resume in (("full", False), ("resumed", True)):
+                found[f"handshakes_per_cpu_s_{kind}_{name}"] = shakes(process, at, resume)
+        before, clients = proxy.usage().resident, []
+        for _ in range(count):
+            client = Client(scheduler, ("127.0.0.1", port))
+            client.stream = shaken(port, None)
+            client.open()
+            clients.append(client)
+        found["kib_per_tls_connection"] = round((proxy.usage().resident - before) / 1024 / count, 1)
+        for client in clients:
+            client.close()
+
+    play(scheduler, story, LIMIT)
+    return found
+
+
 def _send_forged(address: tuple[str, int], tokens: list[bytes], until: float) -> None:
     """Another process: one forged token after another, as fast as they are answered."""
     at = 0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -20,6 +20,7 @@
 from ironmill.net import shutdown as shutdown_module
 from ironmill.net.client import ClientDriver
 from ironmill.net.discovery import Discovery
+from ironmill.net.issuer_host import Dial
 from ironmill.net.listener import Listener
 from ironmill.net.shutdown import Shutdown
 from ironmill.net.signals import Signals
@@ -49,11 +50,12 @@
         self.gateway = Gateway(self.config, self.scheduler)
         self.admission = Admission(self.config.sockets)
         self.callers: Callers | None = None
+        self.dial: Dial | None = None
         self.listener = Listener(self.scheduler, ("127.0.0.1", 0), self._take)
 
     def _take(self, stream: Stream) -> None:
         ClientDriver(
-            self.scheduler, self.gateway, self.config, self.admission, stream, self.callers
+            self.scheduler, self.gateway, self.config, self.admission, stream, self.callers, self.dial
         ).start()
 
     def run(self, story: Callable[[Town], None]) -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,7 @@
 
 from ironmill.cli import main
 from ironmill.settings.load import SIZE_MOST, load_settings
-from ironmill.settings.model import LogSettings, SettingsError
+from ironmill.settings.model import LogSettings, SettingsError, UpstreamTls
 from tests.test_config import written
 
 EXAMPLE = Path(__file__).parent.parent / "deploy" / "settings.example.xml"
@@ -110,6 +110,16 @@
     assert wrong in str(caught.value)
 
 
+def test_tls_to_issuer_hosts(tmp_path: Path) -> None:
+    text = '<issuer-hosts-tls authorities="ca.pem" name="hosts.example"{}/>'
+    upstream = load_settings(file(tmp_path, text.format("")), CLASSES).upstream
+    assert upstream == UpstreamTls(str(tmp_path / "ca.pem"), "hosts.example")
+    with pytest.raises(SettingsError, match="go together"):
+        load_settings(file(tmp_path, text.format(' certificate="a.crt"')), CLASSES)
+    with pytest.raises(SettingsError, match="authorities"):
+        load_settings(file(tmp_path, "<issuer-hosts-tls/>"), CLASSES)
+
+
 def test_rules_by_certificate_and_who_is_denied(tmp_path: Path) -> None:
     print_ = "ab" * 32
     rules = '<caller name="a" tenant="t"><certificate name="dns:*.farm.example"/></caller>'
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -26,8 +26,8 @@
 from ironmill.net.tls import TlsStream
 from ironmill.protocol.tls import HANDSHAKE_MOST, TlsError, TlsSide, TlsState
 from ironmill.scheduler import Scheduler
-from ironmill.settings.model import TlsSettings
-from ironmill.tls_context import server_tls
+from ironmill.settings.model import TlsSettings, UpstreamTls
+from ironmill.tls_context import server_tls, upstream_tls
 from ironmill_lab import call, certificates
 from ironmill_lab.certificates import DAY, NOW, Authority, fingerprint
 from ironmill_lab.fleet import Client, NotServedError, play
@@ -410,6 +410,88 @@
             server_tls(settings(authority, **changes))
 
 
+class SecureHosts(Town):
+    """A town whose issuer hosts speak TLS, and whose proxy checks that they are ``name``."""
+
+    def __init__(self, authority: Authority, name: str) -> None:
+        super().__init__()
+        context = server_tls(settings(authority)).context
+        for listener in self.listeners:
+            listener._make = lambda scheduler, sock: TlsStream(scheduler, sock, context)
+        upstream = upstream_tls(UpstreamTls(str(authority.path)))
+        self.dialled = 0
+
+        def dial(address: tuple[str, int], timeout: float) -> Stream:
+            self.dialled += 1
+            stream = Stream.connect(self.scheduler, address, timeout)
+            return TlsStream.over(self.scheduler, stream, upstream, name)
+
+        self.dial = dial
+
+
+def test_issuer_hosts_that_speak_tls(authority: Authority) -> None:
+    data = bytes(range(256)) * 1000 + b"\r\n"
+
+    def story(town: Town) -> None:
+        client = town.client(OPEN)
+        leg = town.leg()
+        leg.shake(time.monotonic() + 5.0)
+        assert read_line(leg).startswith(b"OPEN 1a 2b c=read,")
+        leg.send(b"UP r1\r\n")
+        assert read_line(client) == b"UP r1\r\n"
+        for source, to in ((client, leg), (leg, client)):
+            town.scheduler.spawn(source.send, data)
+            came = b""
+            while len(came) < len(data):
+                came += to.receive(5.0)
+            assert came == data
+        leg.send(b"BYE\r\n")
+        leg.close_gently(1.0)
+        assert read_line(client) == b"BYE\r\n"
+        client.close()
+        until_gone(town)
+        assert town.gateway.counts["standing OK"] == 1
+
+    SecureHosts(authority, "localhost").run(story)
+
+
+def test_an_issuer_host_that_is_another_gets_no_line(authority: Authority) -> None:
+    def story(town: Town) -> None:
+        assert isinstance(town, SecureHosts)
+        client = town.client(OPEN)
+        leg = town.leg()
+        with pytest.raises(OSError):
+            leg.shake(time.monotonic() + 5.0)
+            leg.receive(5.0)
+        assert town.gateway.counts["leg CONNECT_FAILED"] >= 1
+        client.close()
+
+    SecureHosts(authority, "other.example").run(story)
+
+
+def test_no_handshake_begins_at_an_issuer_host_that_is_leaving(authority: Authority) -> None:
+    """The rule on drains counts a leg's first byte, and with TLS that is the handshake's."""
+    def story(town: Town) -> None:
+        assert isinstance(town, SecureHosts)
+        host = town.gateway.issuer_host("s-0")
+        assert host is not None
+        inner = town.dial
+        assert inner is not None
+
+        def told_meanwhile(address: tuple[str, int], timeout: float) -> Stream:
+            stream = inner(address, timeout)
+            host.leaving_since = town.gateway.now() - 10.0
+            return stream
+
+        town.dial = told_meanwhile
+        client = town.client(OPEN)
+        leg = town.leg()
+        assert Stream.receive(leg, 5.0) == b""
+        client.close()
+
+    SecureHosts(authority, "localhost").run(story)
+
+
 SETTINGS = """<ironmill xmlns="urn:ironmill:settings:1">
   <identity keys="ring.json" standing="move-within=100ms">
     <caller name="farms" tenant="community"><certificate name="dns:*.farm.example"/></caller>
