--- a/ironmill_lab/measures/identity.py
+++ b/ironmill_lab/measures/identity.py
@@ -2,7 +2,7 @@
 
 Five parts: tokens checked a second, cold and from the cache; set-ups with and without a credential; TLS, full
 and resumed, beside a bare echo server; a rotation while a crowd reconnects within 0.2 to 3 s with valid,
-expired, early, forged and foreign tokens; set-ups of valid callers while another address floods with forgeries.
+expired, early, forged and foreign tokens; set-ups of valid callers while another address floods forgeries.
 """
 
 from __future__ import annotations
