One place for spans and rates, for TLS records that go out, and for a test's relay loop

Reading the whole change again showed three things written more than once: the table of units and its arithmetic stood in the command line and in the settings' loader; each way into a TlsStream collected the outgoing records that _push collects anyway right after; and two tests had the same loop of bytes both ways.

ironmill/units.py serves both readers, _push alone collects records, and crosses() relays in the tests. No pattern, bound or assertion changed.

--- a/ironmill/cli.py
+++ b/ironmill/cli.py
@@ -51,13 +51,12 @@
 from ironmill.net.proxy import Proxy
 from ironmill.net.signals import Signals
 from ironmill.scheduler import POLLERS
+from ironmill.units import duration
 from stonegap.settings import MalformedError
 
 if TYPE_CHECKING:
     from ironmill.operator import Operator
 
-_SPANS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
-
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the sub-command; the exit status."""
@@ -128,10 +127,9 @@
 def _span(text: str) -> float:
     from ironmill.commands.keys import CommandError
 
-    found = re.fullmatch(r"([0-9]{1,9}(?:\.[0-9]{1,6})?)(ms|s|m|h|d)", text)
-    if found is None:
+    if re.fullmatch(r"[0-9]{1,9}(\.[0-9]{1,6})?(ms|s|m|h|d)", text) is None:
         raise CommandError(f"{text!r} is no span; it is a number and ms, s, m, h or d, as in 90s")
-    return float(found[1]) * _SPANS[found[2]]
+    return duration(text)
 
 
 def read(
--- a/ironmill/net/tls.py
+++ b/ironmill/net/tls.py
@@ -144,23 +144,21 @@
             self._side.write(data)
         except TlsError as error:
             raise self._failed(error) from None
-        self._held += self._side.outgoing()
 
     def _take(self, data: bytes) -> None:
         try:
             self._side.receive(data)
         except TlsError as error:
             raise self._failed(error) from None
-        self._held += self._side.outgoing()
 
     def _failed(self, error: TlsError) -> TlsFailedError:
         """The alert goes out if the socket takes it at once."""
-        self._held += self._side.outgoing()
         with contextlib.suppress(OSError):
             self._push()
         return TlsFailedError(str(error))
 
     def _push(self) -> None:
+        """Take what TLS has to say, and write what the socket takes at once."""
         self._held += self._side.outgoing()
         if self._held:
             with contextlib.suppress(BlockingIOError):
--- a/ironmill/settings/load.py
+++ b/ironmill/settings/load.py
@@ -14,10 +14,10 @@
 
 from ironmill.identity.rules import Caller, CallerRule, Identity, Rights, TokenMatch
 from ironmill.settings.model import LogSettings, OperatorSettings, SettingsError, TlsSettings, UpstreamTls
+from ironmill.units import duration, rate
 
 SIZE_MOST = 1 << 20
 NAMESPACE = "urn:ironmill:settings:1"
-_UNITS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
 # What would be right, where the schema's own message shows only a regular expression.
 _HINTS = {
     "duration": "a duration has a unit, as in 250ms, 30s or 2m",
@@ -40,18 +40,6 @@
     return _Builder(path, frozenset(classes)).build(root)
 
 
-def duration(text: str) -> float:
-    """Seconds, from a number and its unit: ms, s, m, h or d."""
-    unit = text.lstrip("0123456789.")
-    return float(text.removesuffix(unit)) * _UNITS[unit]
-
-
-def rate(text: str) -> float:
-    """Events a second, from a number and the span it is for: /s, /m or /h."""
-    number, _, unit = text.partition("/")
-    return float(number) / _UNITS[unit]
-
-
 def _parse(path: str) -> etree._Element:
     try:
         with Path(path).open("rb") as file:
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -92,6 +92,16 @@
         return client, leg
 
 
+def crosses(town: Town, data: bytes, client: Stream, leg: Stream) -> None:
+    """The data goes on unchanged, first to the issuer host and then to the client."""
+    for source, to in ((client, leg), (leg, client)):
+        town.scheduler.spawn(source.send, data)
+        came = b""
+        while len(came) < len(data):
+            came += to.receive(5.0)
+        assert came == data
+
+
 def until_gone(town: Town) -> None:
     town.until(lambda: not town.gateway.busy() and town.admission.used() == 0)
 
@@ -102,12 +112,7 @@
     def story(town: Town) -> None:
         assert isinstance(town, TlsTown)
         client, leg = town.stand()
-        for source, to in ((client, leg), (leg, client)):
-            town.scheduler.spawn(source.send, data)
-            came = b""
-            while len(came) < len(data):
-                came += to.receive(5.0)
-            assert came == data
+        crosses(town, data, client, leg)
         leg.send(b"BYE\r\n")
         leg.close_gently(1.0)
         assert read_line(client) == b"BYE\r\n"
@@ -439,12 +444,7 @@
         assert read_line(leg).startswith(b"OPEN 1a 2b c=read,")
         leg.send(b"UP r1\r\n")
         assert read_line(client) == b"UP r1\r\n"
-        for source, to in ((client, leg), (leg, client)):
-            town.scheduler.spawn(source.send, data)
-            came = b""
-            while len(came) < len(data):
-                came += to.receive(5.0)
-            assert came == data
+        crosses(town, data, client, leg)
         leg.send(b"BYE\r\n")
         leg.close_gently(1.0)
         assert read_line(client) == b"BYE\r\n"
