Ask for the first changes at once where discovery pushes them to the agent

Nine proxies restarted as the zone came back; the one at fault served from `known`, older than the loss, while CallPace.first held its first call back for up to 4 s. Changed: with push the first call comes at once and a failed one again after 0.1 s, as before; with ask nothing changes.

--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -54,7 +54,9 @@
         self.gateway.prober = ProbeDriver(
             self.scheduler, config.connect_timeout, self.gateway.probed, self._dial
         )
-        pace = partial(CallPace, config.settings.relays, random.Random(config.seed))
+        pace = partial(
+            CallPace, config.settings.relays, random.Random(config.seed), config.settings.ask_discovery
+        )
         known = config.known.revision if config.known.listed else None
         self.discovery = Discovery(self.scheduler, config.discovery, self.gateway.routing, pace, known)
         self.admission = Admission(config.sockets)
--- a/ironmill/pace.py
+++ b/ironmill/pace.py
@@ -19,14 +19,20 @@
 class CallPace:
     """When one of so many proxies may call discovery. All times are in seconds."""
 
-    def __init__(self, proxies: int, rng: random.Random) -> None:
-        self._share = min(PAUSE_MOST, SPACING * max(1, proxies))
+    def __init__(self, proxies: int, rng: random.Random, asks: bool = True) -> None:
+        """``asks``: a call is work for discovery. Else the agent answers it with what it was sent."""
+        self._asks = asks
+        self._share = min(PAUSE_MOST, SPACING * (max(1, proxies) if asks else 1))
         self._rng = rng
         self._failures = 0
 
     def first(self) -> float:
-        """Until the first call, where a list is at hand: proxies that start together do not call together."""
-        return self._rng.random() * self._share
+        """Until the first call, where a list is at hand: proxies that start together do not call together.
+
+        At once where the agent was sent all changes unasked, for they count as told: on a day when a lost
+        zone came back, a proxy that started with an old list sent to a server that was long listed as gone.
+        """
+        return self._rng.random() * self._share if self._asks else 0.0
 
     def answered(self) -> None:
         """A call was answered."""
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -66,3 +66,10 @@
 def test_one_proxy_alone_never_waits_long() -> None:
     pace = CallPace(1, random.Random(1))
     assert all(pace.failed() <= 0.2 for _ in range(50))
+
+
+def test_what_was_sent_unasked_is_asked_for_at_once() -> None:
+    """It counts as told, so a list from before the start must not be served from any longer."""
+    pace = CallPace(40, random.Random(1), asks=False)
+    assert pace.first() == 0.0
+    assert all(pace.failed() < 0.2 for _ in range(20))
