Look for mid-flow connections at the first in their group's order where none of it is held

A proxy that took over holds none of the group, and _prefer then took the ready one with the highest number, max by (0, number), among those that were least loaded here. Ruled out: the key is not lost on the way (all 382 came with the key they were placed under). Changed: _prefer looks for them in the group's order among all that are ready, by tokens or not.

--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -821,7 +821,10 @@
         if live.request.rerouted:
             # It stands somewhere already, most likely where most of its group does, tokens or not.
             held = [backend for backend in holding if backend in table and fits(backend)]
-            return max(held or among, key=lambda backend: (holding.get(backend, 0), backend), default=None)
+            if held:
+                return max(held, key=lambda backend: (holding[backend], backend))
+            # A relay that holds none of it goes by the order that those shared who placed it, tokens or not.
+            among = [backend for backend in table.members(len(table)) if fits(backend)]
         return max(among, key=lambda backend: preference(group, backend), default=None)
 
     def _stands(self, live: _Live, change: int) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from typing import Any
 
-from stonegap.balance import LIFE, Backend, ColdBudget
+from stonegap.balance import LIFE, Backend, ColdBudget, preference
 from stonegap.interface import (
     Action,
     Entry,
@@ -76,6 +76,17 @@
     assert sum(count for _, count in took.most_common(3)) >= 0.8 * 8 * FORTY
 
 
+def test_mid_flow_connections_are_looked_for_where_all_relays_place_their_group() -> None:
+    """A relay that took over holds none of the group, and what is least loaded tells nothing of it."""
+    for group in range(1, 20):
+        relay = Relay(0, relays=FORTY, live_weights=True)
+        listed = tuple(replace(entry, weight=4.0) for entry in entries(12))
+        relay.play(ListChanged(ListKind.FULL, listed))
+        first = max(range(1, 13), key=lambda backend: preference(group, backend))
+        weigh(relay, {number: 9.0 if number == first else 3.0 for number in range(1, 13)})
+        assert [send.backend for send in sends(relay.request(group=group, rerouted=True))] == [first]
+
+
 def test_live_weights_tell_a_relay_what_the_others_placed() -> None:
     for relay in fleet(4, live_weights=True):
         weigh(relay, {1: 0.0, 2: 0.0, 3: 0.0, 4: 0.0})  # so large they are
