Place mid-flow connections like any other of their group where none of it is held

A crowd on a server that is full already is worse than a miss. The test's first server is now a step above the others, no longer far above; it fails with the old choice by number.

--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -823,8 +823,6 @@
             held = [backend for backend in holding if backend in table and fits(backend)]
             if held:
                 return max(held, key=lambda backend: (holding[backend], backend))
-            # A relay that holds none of it goes by the order that those shared who placed it, tokens or not.
-            among = [backend for backend in table.members(len(table)) if fits(backend)]
         return max(among, key=lambda backend: preference(group, backend), default=None)
 
     def _stands(self, live: _Live, change: int) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -83,7 +83,7 @@
         listed = tuple(replace(entry, weight=4.0) for entry in entries(12))
         relay.play(ListChanged(ListKind.FULL, listed))
         first = max(range(1, 13), key=lambda backend: preference(group, backend))
-        weigh(relay, {number: 9.0 if number == first else 3.0 for number in range(1, 13)})
+        weigh(relay, {number: 5.0 if number == first else 4.0 for number in range(1, 13)})
         assert [send.backend for send in sends(relay.request(group=group, rerouted=True))] == [first]
 
 
