Remove a cold safety that was never reached, and note own sends only where they are read

Where weights are live nothing changes. - Backend.unlisted was filled also where no count reads it and nothing trims it, so that each end searched a list as long as what stands. It is filled only where weights are live. - The budget was told of standing connections beside each call of _stands: _stands tells it now. _live_weights repeated the settings. _prefer asked twice whether a request is rerouted. Tests listed weights by hand that entries() can give.

--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -113,10 +113,7 @@
 
 # Cold start: part of the tipping load that all relays together aim at. The rest is left to chance, to a span
 # that lies across two windows and to what was kept from the window before.
-# Where loads are told, what a backend can do is known better. With 40 relays 0.6, 0.8 and 1 score 0.34, 0.42
-# and 0.35 (six days each, moved by up to 0.05 from run to run), without a fall.
 COLD_SAFETY = 0.4
-COLD_SAFETY_TOLD = 0.8
 # Memory of the ordinary rate of placements, seconds; longer trusts the past more.
 RATE_MEMORY = 30.0
 RATE_LEAST_SPAN = 5.0
@@ -401,8 +398,7 @@
     the sum keeps too. With many relays that is far below one connection a window; whole ones are
     then granted by seeded chance. What a window leaves unused is kept for one more and then lost, not saved
     for a burst: where a relay places one connection in five windows nearly all of it was lost, and cold
-    backends stood empty beside jammed ones. Where loads are reported, a backend can do as much more than it
-    takes in ordinary times as it is not loaded then.
+    backends stood empty beside jammed ones.
     """
 
     def __init__(self, settings: Settings, rng: random.Random, now: float) -> None:
@@ -416,7 +412,6 @@
         self._stood_at = now
         self._served = 0  # to their end
         self.held = 0.0  # on a warm backend by all relays, as the list tells; 0 where it does not
-        self.load: float | None = None  # reported by warm backends, on average; None where none is told
 
     def arrived(self, ready: int, now: float) -> None:
         """A first try came (crowds that come again say nothing about the ordinary rate)."""
@@ -461,8 +456,7 @@
         rate = total / (max(RATE_LEAST_SPAN, span) + told)
         age = min(1.0, max(0.0, (now - backend.started_at) / rules.ramp_time))
         capacity = rules.cold_from + (1.0 - rules.cold_from) * age
-        safety = COLD_SAFETY if self.load is None else COLD_SAFETY_TOLD / self.load
-        return safety * rules.fall_multiple * capacity * rate * rules.tip_after
+        return COLD_SAFETY * rules.fall_multiple * capacity * rate * rules.tip_after
 
 
 # --- load shedding -------------------------------------------------------------------------------
@@ -588,7 +582,6 @@
         self._table = TokenTable()
         self._budget = ColdBudget(settings, self._rng, now)
         self._gate = Gate(self._rng, now)
-        self._live_weights = settings.live_weights
         self._breaker = Breaker(self._rng)
         self._groups: dict[int, dict[int, int]] = {}  # own standing connections, by group and backend
         # What an own connection adds to a reported load, over all that reported; with live weights what a
@@ -660,7 +653,7 @@
         self._heaviest = max(weights, default=1.0)
         self._largest = max(self._largest, self._heaviest)
         self._mean_weight = sum(weights) / max(1, len(weights))
-        if self._live_weights and event.entries:
+        if self._settings.live_weights and event.entries:
             for backend in self._backends.values():
                 backend.unlisted = [at for at in backend.unlisted if self._now - at < LIST_AGE]
                 self._read(backend)
@@ -730,7 +723,7 @@
         reported. A relay sees only its own slice, and nothing of a neighbour that takes half of the machine.
         So the report stands for what was held when it came, and own counts for all that has changed since.
         """
-        if self._live_weights:
+        if self._settings.live_weights:
             held = self._largest / backend.weight
             if self._unit > 0.0 and self._now - backend.load_at <= REPORT_MEMORY:
                 held *= min(COST_MOST, max(COST_LEAST, backend.cost / self._unit))
@@ -766,11 +759,11 @@
             # What is open at the start is the best guess at the settled threshold.
             self._threshold = sum(table.count(member) for member in table.members(ready)) // max(1, ready)
         green, yellow = table.below(self._threshold), table.below(self._threshold + 1)
-        heaviest = self._heaviest
+        heaviest, live_weights = self._heaviest, self._settings.live_weights
 
         def fits(backend: int) -> bool:
             # A backend of half the size is ready for half of the placements.
-            if not self._live_weights and self._rng.random() * heaviest > self._backends[backend].weight:
+            if not live_weights and self._rng.random() * heaviest > self._backends[backend].weight:
                 return False
             return backend not in live.tried and self._in_scope(live, backend)
 
@@ -808,25 +801,26 @@
         table, holding = self._table, self._groups.get(group, {})
         among = [backend for backend in table.members(end) if fits(backend)]
         likely = dict.fromkeys(holding)
-        if self._live_weights:
+        if self._settings.live_weights:
             members = table.members(len(table))
             likely |= dict.fromkeys(heapq.nlargest(GROUP_TOP, members, partial(preference, group)))
         among += [
             backend for backend in likely
             if backend in table and under <= table.count(backend) < under + GROUP_LESS and fits(backend)
         ]
-        granted = [backend for backend in among if self._budget.is_cold(self._backends[backend], self._now)]
-        if granted and not live.request.rerouted:
-            among = granted  # guards a cold backend against standing empty: what it may have is soon lost
         if live.request.rerouted:
             # It stands somewhere already, most likely where most of its group does, tokens or not.
             held = [backend for backend in holding if backend in table and fits(backend)]
             if held:
                 return max(held, key=lambda backend: (holding[backend], backend))
+        else:
+            # Guards a cold backend against standing empty: what it may have is soon lost.
+            among = [b for b in among if self._budget.is_cold(self._backends[b], self._now)] or among
         return max(among, key=lambda backend: preference(group, backend), default=None)
 
-    def _stands(self, live: _Live, change: int) -> None:
-        """Count a connection of a group that stands at its backend, or does no more."""
+    def _stands(self, live: _Live, change: int, served: bool = False) -> None:
+        """Count a connection that stands at its backend, or does no more; also in its group."""
+        self._budget.stands(change, self._now, served)
         if live.request.group is None:
             return
         holding = self._groups.setdefault(live.request.group, {})
@@ -859,7 +853,8 @@
         live.tried.append(backend.id)
         backend.live += 1
         backend.trying += 1
-        backend.unlisted.append(self._now)
+        if self._settings.live_weights:
+            backend.unlisted.append(self._now)
         self._hold_for(live, 1)
         if backend.idle_until:
             backend.idle_until.pop()
@@ -938,7 +933,6 @@
         live.sent, live.out, live.established, live.over = 1, True, True, True
         live.backend = event.backend
         self._stands(live, 1)
-        self._budget.stands(1, self._now)
         self._live[event.request.id] = live
         backend = self._backends.get(event.backend)
         if backend is None:
@@ -989,7 +983,6 @@
             return
         live.established, live.over = True, True
         self._stands(live, 1)
-        self._budget.stands(1, self._now)
         backend = self._backends.get(live.backend)
         if backend is not None:
             backend.trying -= 1
@@ -1019,8 +1012,7 @@
         load = LOAD_OF_OUTCOME.get(event.outcome, 0.0)
         Health.add(backend, load, self._now)
         if live.established:
-            self._stands(live, -1)
-            self._budget.stands(-1, self._now, event.outcome is Outcome.OK)
+            self._stands(live, -1, event.outcome is Outcome.OK)
         else:
             backend.trying -= 1
             if load > 0.0:
@@ -1133,14 +1125,11 @@
             backend for backend in self._backends.values()
             if backend.ready and self._now - backend.load_at <= REPORT_MEMORY
         ]
-        if self._live_weights:
+        if self._settings.live_weights:
             self._unit = sum(b.cost for b in told) / len(told) if told else 0.0
             return
         held = sum(backend.load_live for backend in told)
         self._unit = sum(backend.load for backend in told) / held if held > 0 else 0.0
-        warm = [backend.load for backend in told if not self._budget.is_cold(backend, self._now)]
-        if warm:
-            self._budget.load = min(1.0, max(0.3, sum(warm) / len(warm)))
 
     def _lighten(self, backend: Backend) -> None:
         """Move some connections off a jam: those first of whose group the fewest stand there."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -62,7 +62,7 @@
     """What is least loaded changes with each list; a group that follows it stands everywhere in the end."""
     relays, rng = fleet(0, live_weights=True), random.Random(5)
     for relay in relays:
-        relay.play(ListChanged(ListKind.FULL, tuple(replace(e, weight=4.0) for e in entries(12))))
+        relay.play(ListChanged(ListKind.FULL, entries(12, weight=4.0)))
     took: Counter[int] = Counter()
     for _ in range(8):
         held = {number: rng.uniform(4.0, 6.0) for number in range(1, 13)}
@@ -80,8 +80,7 @@
     """A relay that took over holds none of the group, and what is least loaded tells nothing of it."""
     for group in range(1, 20):
         relay = Relay(0, relays=FORTY, live_weights=True)
-        listed = tuple(replace(entry, weight=4.0) for entry in entries(12))
-        relay.play(ListChanged(ListKind.FULL, listed))
+        relay.play(ListChanged(ListKind.FULL, entries(12, weight=4.0)))
         first = max(range(1, 13), key=lambda backend: preference(group, backend))
         weigh(relay, {number: 5.0 if number == first else 4.0 for number in range(1, 13)})
         assert [send.backend for send in sends(relay.request(group=group, rerouted=True))] == [first]
@@ -196,8 +195,7 @@
     took: Counter[int] = Counter()
     for relay in fleet(0, live_weights=True):
         size, held = 4.0, 20.0  # of each warm backend, and connections
-        listed = tuple(Entry(number, Stage.READY, weight=size) for number in range(1, 11))
-        relay.play(ListChanged(ListKind.FULL, listed))
+        relay.play(ListChanged(ListKind.FULL, entries(10, weight=size)))
         weigh(relay, dict.fromkeys(range(1, 8), held / size))
         cold = tuple(
             Entry(number, Stage.READY, weight=size, started_at=relay.now) for number in range(8, 11)
