Fill cold servers along with their capacity to what warm ones hold

They carry 0.04 to 0.22 of a full load (one or two connections, each of another group), the 23 old ones up to 1.6; of 1,149 sends in 2 s 42 go to new ones, 831 connections are reset in the same 2 s and come again. At 16 s, when the stated warm-up ends, 331 of 1,105 go there at once. A server is full at about 40 connections of two groups; warm ones hold 12. At fault: ColdBudget._share. Its rate is what warm servers hold over the longest mean life told (52 s): 0.26 a second where half the fleet's connections have to find a place within seconds. Now a cold server may also be filled to what a warm one holds by the end of its warm-up, along with its capacity; the rule counts a cold server's capacity by what fills it over its warm-up, so that is half of the rule at most.

--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -399,6 +399,10 @@
     then granted by seeded chance. What a window leaves unused is kept for one more and then lost, not saved
     for a burst: where a relay places one connection in five windows nearly all of it was lost, and cold
     backends stood empty beside jammed ones.
+
+    Where the list tells what backends hold, a cold one may also be filled to what a warm one holds by the end
+    of its warm-up, along with its capacity. The rule counts a capacity in new connections by what fills the
+    backend over its warm-up, so that is about half of the rule, and less where the warm ones are not full.
     """
 
     def __init__(self, settings: Settings, rng: random.Random, now: float) -> None:
@@ -456,7 +460,12 @@
         rate = total / (max(RATE_LEAST_SPAN, span) + told)
         age = min(1.0, max(0.0, (now - backend.started_at) / rules.ramp_time))
         capacity = rules.cold_from + (1.0 - rules.cold_from) * age
-        return COLD_SAFETY * rules.fall_multiple * capacity * rate * rules.tip_after
+        ordinary = COLD_SAFETY * rules.fall_multiple * rate
+        # Guards cold backends against standing empty while the others jam: the ordinary rate of connections
+        # that last 30 s is a tenth of what comes when half of the backends are replaced within seconds.
+        warm_up = max(rules.tip_after, rules.ramp_time) * (1.0 + rules.cold_from) / 2.0
+        filling = self.held / (warm_up * rules.relays)
+        return max(ordinary, filling) * capacity * rules.tip_after
 
 
 # --- load shedding -------------------------------------------------------------------------------
