Let each list be one step of the threshold in a large fleet

At fault: Balancer._place sets the threshold once, at the first placement, when all is empty, and moves it by a step per own placement, up only when at most one yellow token is left. A proxy of 200 places about ten connections.

--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -670,6 +670,20 @@
                     if b.ready and not self._budget.is_cold(b, self._now)]
             held = sum(self._largest * (self._largest / weight - 1.0) for weight in warm)
             self._budget.held = held / max(1, len(warm))
+            self._follow()
+
+    def _follow(self) -> None:
+        """One step of the threshold towards the mean count: a list tells what the other relays have placed.
+
+        By the part of them. Guards the tokens against a threshold that stands still: one relay of 200 places
+        ten connections a day, stayed at 0 while the mean count rose to 3, and so all sent all groups to the
+        same few backends, the emptiest of a late list. In a crowd own placements outnumber lists.
+        """
+        ready = len(self._table)
+        others = 1.0 - 1.0 / self._part
+        if self._threshold is not None and ready and others and self._rng.random() < others:
+            mean = sum(self._table.count(member) for member in self._table.members(ready)) // ready
+            self._threshold += (mean > self._threshold) - (mean < self._threshold)
 
     def _list(self, entry: Entry) -> None:
         backend = self._backends.get(entry.backend)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -190,6 +190,17 @@
     assert late < granted, "not saved for a burst"
 
 
+def test_the_threshold_of_a_relay_that_seldom_places_follows_the_list() -> None:
+    """Else all of a large fleet go on sending to the few that its late list shows as the emptiest."""
+    for relay in fleet(10, relays=200, live_weights=True):
+        relay.request()
+        assert relay.balancer.threshold <= 1
+        for _ in range(6):
+            relay.now += 1.5
+            weigh(relay, {number: float(number % 7) for number in range(1, 11)})
+        assert 2 <= relay.balancer.threshold <= 3
+
+
 def test_cold_backends_are_filled_along_with_their_capacity_by_all_relays_together() -> None:
     """200 relays that have just started place a crowd while three of ten backends are cold.
 
