Compute the mean count of the token table in one place

_place and _follow summed the counts of all members each for itself; TokenTable.mean does it for both.

--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -255,6 +255,10 @@
         fitting = [backend for backend in self._order[start:end] if fits(backend)]
         return rng.choice(fitting) if fitting else None
 
+    def mean(self) -> int:
+        """The mean count, rounded down; 0 without members."""
+        return sum(self._count.values()) // max(1, len(self._order))
+
     def members(self, end: int) -> list[int]:
         """The members placed before end, the lowest counts first."""
         return self._order[:end]
@@ -679,10 +683,9 @@
         ten connections a day, stayed at 0 while the mean count rose to 3, and so all sent all groups to the
         same few backends, the emptiest of a late list. In a crowd own placements outnumber lists.
         """
-        ready = len(self._table)
         others = 1.0 - 1.0 / self._part
-        if self._threshold is not None and ready and others and self._rng.random() < others:
-            mean = sum(self._table.count(member) for member in self._table.members(ready)) // ready
+        if self._threshold is not None and len(self._table) and others and self._rng.random() < others:
+            mean = self._table.mean()
             self._threshold += (mean > self._threshold) - (mean < self._threshold)
 
     def _list(self, entry: Entry) -> None:
@@ -780,7 +783,7 @@
         table, ready = self._table, len(self._table)
         if self._threshold is None:
             # What is open at the start is the best guess at the settled threshold.
-            self._threshold = sum(table.count(member) for member in table.members(ready)) // max(1, ready)
+            self._threshold = table.mean()
         green, yellow = table.below(self._threshold), table.below(self._threshold + 1)
         heaviest, live_weights = self._heaviest, self._settings.live_weights
 
