Share the clients' address, so that a new version starts beside the old one

The listener sets SO_REUSEPORT. One that finds the address taken listens only once discovery has answered, so a start that fails costs no client; one that ends has the kernel send all new connections to its successor before it closes, and accepts what waits. Alone, nothing changes: it listens at once, and giving way to nobody is harmless.

Ruled out: closing at once without steering (the kernel resets what waits), setting the option later than bind.

--- a/ironmill/net/listener.py
+++ b/ironmill/net/listener.py
@@ -1,10 +1,18 @@
-"""Accepts clients' connections and starts a driver for each."""
+"""Accepts clients' connections and starts a driver for each.
+
+A shared listener takes part in an upgrade: two processes listen at one address (``SO_REUSEPORT``), the
+kernel deals the connections out between them, and the one that ends first asks it to send them all to the
+other. Nothing is handed over and neither process talks to the other.
+"""
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import logging
 import socket
+import struct
+from array import array
 from collections.abc import Callable
 
 from ironmill.net.sockets import Stream
@@ -13,6 +21,9 @@
 BACKLOG = 1024
 AT_ONCE = 16  # accepted in one turn; the others run in between
 PAUSE = 0.05  # when descriptors have run out
+# Linux's options of a group of sockets at one address, which Python does not name; a program in classic BPF.
+_ATTACH_PROGRAM, _DETACH_PROGRAM = 51, 68
+_RETURN = 0x06
 _EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 log = logging.getLogger("ironmill.listener")
@@ -24,16 +35,26 @@
     def __init__(
         self, scheduler: Scheduler, address: tuple[str, int], take: Callable[[Stream], None],
         make: Callable[[Scheduler, socket.socket], Stream] = Stream, at_once: bool = True,
+        shared: bool = False,
     ) -> None:
-        """What comes before ``start`` waits to be accepted, where it is not to be ``at_once``."""
+        """What comes before ``start`` waits to be accepted, where it is not to be ``at_once``.
+
+        ``shared``: another process may listen there, and one that does already serves alone until ``start``.
+        """
         self._scheduler = scheduler
         self._make = make
         self._take = take
+        self._shared = shared
+        self.succeeds = shared and _taken(address)  # another process listens there
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if shared:
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             self._sock.bind(address)
-            self._sock.listen(BACKLOG)
+            self._listens = not self.succeeds
+            if self._listens:
+                self._sock.listen(BACKLOG)
         except OSError:
             self._sock.close()
             raise
@@ -45,8 +66,28 @@
     def start(self) -> None:
         """Accept from now on. A second time, or after the close, changes nothing."""
         if self._task is None and self._sock.fileno() >= 0:
+            if self.succeeds:
+                # Not before: what the kernel sent here would be reset if the start failed.
+                self._sock.listen(BACKLOG)
+                self._listens = True
+                self._ask_kernel(_DETACH_PROGRAM, struct.pack("i", 0))  # what an earlier upgrade left
             self._task = self._scheduler.spawn(self._accept)
 
+    def give_way(self) -> None:
+        """From now on all new connections go to the process that was started after this one, if there is one.
+
+        Guards those under way against the close: the kernel resets what waits at a listener that closes, and
+        goes on sending it connections until then. The group keeps its sockets in the order in which they
+        began to listen, so the successor is the second; where there is none all goes on as before.
+        """
+        if self._shared and self._sock.fileno() >= 0:
+            code = array("B", struct.pack("=HBBI", _RETURN, 0, 0, 1))
+            self._ask_kernel(_ATTACH_PROGRAM, struct.pack("@HP", 1, code.buffer_info()[0]))
+
+    def _ask_kernel(self, option: int, value: bytes) -> None:
+        with contextlib.suppress(OSError):  # not to be had: the last connections before a close may be reset
+            self._sock.setsockopt(socket.SOL_SOCKET, option, value)
+
     @property
     def address(self) -> tuple[str, int]:
         """Where it listens."""
@@ -58,7 +99,7 @@
         if self._sock.fileno() < 0:
             return  # guards against an accept that fails for ever: the second close found no socket
         self._scheduler.kill(self._task)
-        while self._accept_one():
+        while self._listens and self._accept_one():
             pass
         self._scheduler.forget(self._sock.fileno())
         self._sock.close()
@@ -89,3 +130,14 @@
             log.info("a connection broke when it was accepted: %s", error)
             sock.close()
         return True
+
+
+def _taken(address: tuple[str, int]) -> bool:
+    """True if another process listens at the address: without sharing it cannot be had."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(address)
+        except OSError as error:
+            return error.errno == errno.EADDRINUSE
+    return False
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -79,7 +79,7 @@
         self.reload = Reload(
             config, read_again, self.discovery.watch_at, read_operator, self._take_operator
         )
-        self.listener = Listener(self.scheduler, config.listen, self._take, at_once=False)
+        self.listener = Listener(self.scheduler, config.listen, self._take, at_once=False, shared=True)
         self.tls_listener: Listener | None = None
         if operator is not None and operator.settings.tls is not None and operator.tls is not None:
             from ironmill.net.tls import TlsStream
@@ -91,7 +91,8 @@
                 return TlsStream(scheduler, sock, self._operator.tls.context)
 
             self.tls_listener = Listener(
-                self.scheduler, operator.settings.tls.listen, self._take, make, at_once=False
+                self.scheduler, operator.settings.tls.listen, self._take, make, at_once=False,
+                shared=True,
             )
 
     def serve(self) -> None:
@@ -105,6 +106,8 @@
         self._signals.start(self.scheduler)
         Collector(self.scheduler, self.gateway.held).start()
         log.info("listening on %s:%d", *self.listener.address)
+        if self.listener.succeeds:
+            log.info("another process listens there: clients come here too once discovery has answered")
         if self.tls_listener is not None:
             log.info("listening for TLS on %s:%d", *self.tls_listener.address)
         log.info("of %d descriptors %d are for clients", self._config.sockets, self.admission.most)
@@ -116,6 +119,12 @@
         if self.tls_listener is not None:
             self.tls_listener.start()
 
+    def give_way(self) -> None:
+        """Leave new connections to a process that was started after this one, if there is one."""
+        self.listener.give_way()
+        if self.tls_listener is not None:
+            self.tls_listener.give_way()
+
     def close(self) -> None:
         """Take no more connections."""
         self.listener.close()
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -28,6 +28,9 @@
 class Closable(Protocol):
     """Whatever takes new connections."""
 
+    def give_way(self) -> None:
+        """Leave what is new to a successor, if there is one."""
+
     def close(self) -> None:
         """Take no more."""
 
@@ -55,7 +58,9 @@
         log.info("ending: %d owed an answer, %d stand", owed, standing)
         longest = min(LONGEST, max(self._config.wait_limits.values(), default=LONGEST))
         end = time.monotonic() + longest + GRACE - SPARE
+        self._listener.give_way()
         self._scheduler.sleep(ACCEPT_FOR)
+        self._listener.give_way()  # once more: a successor may have begun to listen only now
         self._listener.close()
         self._scheduler.sleep(MOVE_AFTER - ACCEPT_FOR)
         self._move_all(end - FLUSH)
