Answer staff at a second address: health, true figures, drain and its end

- lifecycle: one table of states, no I/O; PING, health, new requests and the mover ask it.
- figures: one Count goes with each request, its first outcome stands.
The gateway's own tallies of the same are gone.
- staff and protocol/calls: a table of calls behind a state machine over h11; net/control: 12 callers at once, the oldest half call makes room, 408 after 3 s.
Not imported where no second address is told.
- drain: whoever the front still sends is served for 0.5 s, what stands moves evenly by 2.8 s, who is owed an answer at 3 s is declined; then new ones are declined with a time to come again.
A drain can be taken back half way.
- The decisions tell which ready servers they leave out (left_out), for skipped_servers.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 want="$(python3 -c 'import sys; print(sys.version)') $(cksum < requirements.txt)"
 if [ "$(cat .venv/complete 2>/dev/null || true)" != "$want" ] \
-    || ! .venv/bin/python -c 'import docopt, greenlet, orjson' 2>/dev/null; then
+    || ! .venv/bin/python -c 'import docopt, greenlet, h11, orjson' 2>/dev/null; then
     rm -rf .venv
     python3 -m venv .venv
     .venv/bin/pip install -q --disable-pip-version-check -r requirements.txt
--- a/ironmill/config.py
+++ b/ironmill/config.py
@@ -34,6 +34,7 @@
     wait_limits: Mapping[str, float]  # by class: how long a client waits that does not say so
     shortest_aim: float  # of the aims for a message on an open connection
     stated: Mapping[str, object]  # the file as it is, by key in full
+    control: Address | None = None  # where staff call; nothing listens without it
 
 
 def address(text: str, key: str) -> Address:
@@ -78,6 +79,7 @@
     sockets = root.tree("limits", {}).number("sockets", 1024)
     if not SOCKETS_LEAST <= sockets <= SOCKETS_MOST:
         raise MalformedError(f"configuration: limits.sockets is not from {SOCKETS_LEAST} to {SOCKETS_MOST}")
+    control = env.get("PROXY_CONTROL") or root.text("control", "")
     return Config(
         name=env.get("PROXY_NAME") or root.text("name"),
         listen=address(env.get("PROXY_LISTEN") or root.text("listen"), "listen"),
@@ -94,4 +96,5 @@
         },
         shortest_aim=min((cls.message_aim for cls in settings.classes), default=0.1),
         stated=flat(value),
+        control=address(control, "control") if control else None,
     )
--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -17,6 +17,8 @@
 
 from ironmill.config import Config
 from ironmill.delay import DelayMeter
+from ironmill.figures import Count, Figures
+from ironmill.lifecycle import Lifecycle, State
 from ironmill.routing_table import IssuerHost, Routing, RoutingTable
 from ironmill.scheduler import Timers
 from ironmill.timers import Timer
@@ -102,6 +104,7 @@
     id: str
     give_up_at: float
     holder: Holder
+    count: Count
     legs: int = 0
     leg: Leg | None = None  # the one that is out or stands; there is never a second
     standing: bool = False
@@ -125,8 +128,10 @@
 class Gateway:
     """Feeds the decisions of one proxy and carries them out."""
 
-    def __init__(self, config: Config, timers: Timers) -> None:
+    def __init__(self, config: Config, timers: Timers, lifecycle: Lifecycle | None = None) -> None:
         self._config = config
+        self.lifecycle = lifecycle or Lifecycle(State.SERVING)
+        self.figures = Figures(config.wait_limits)
         self._timers = timers
         # One clock for all: Unix time as it was at the start, from then on as steady as the monotonic.
         self._offset = time.time() - time.monotonic()
@@ -158,6 +163,17 @@
         """Those whose connections stand."""
         return [authorisation for authorisation in self._authorisations.values() if authorisation.standing]
 
+    def known_servers(self) -> int:
+        """How many issuer hosts are in the list, the draining ones among them."""
+        return len(self._table.listed())
+
+    def skipped_servers(self) -> int:
+        """How many of those get nothing new now: they drain, or too much has failed there."""
+        left_out = self._balancer.left_out()
+        return sum(
+            1 for host in self._table.listed() if host.leaving_since is not None or host.number in left_out
+        )
+
     def held(self) -> int:
         """How many authorisations there are, those whose connections stand among them."""
         return len(self._authorisations)
@@ -181,22 +197,29 @@
         return class_name in self._config.wait_limits
 
     def authorise(
-        self, holder: Holder, class_name: str, wait: float | None, came_at: float, **fields: Any
+        self, holder: Holder, class_name: str, wait: float | None, came_at: float,
+        count: Count | None = None, **fields: Any,
     ) -> Authorisation:
-        """A client asks for a connection. What is known of the request beyond its class goes in fields."""
+        """A client asks for a connection. What is known of the request beyond its class goes in fields.
+
+        ``count`` is where it is counted, if its driver has counted it already.
+        """
         if wait is None:
             wait = self._config.wait_limits.get(class_name, 10.0)
-        authorisation = self._admit(holder, came_at + wait - ANSWER_LEAD)
+        count = count or self.figures.take(class_name)
+        authorisation = self._admit(holder, came_at + wait - ANSWER_LEAD, count)
         authorisation.deadline = self._timers.call_later(
             authorisation.give_up_at - self.now() + ANSWER_OVERDUE, self._overdue, authorisation
         )
-        self._count("authorisations")
         self._feed(Request(authorisation.id, class_name, authorisation.give_up_at, **fields))
         return authorisation
 
-    def carry(self, holder: Holder, host: IssuerHost, class_name: str, **fields: Any) -> Leg:
+    def carry(
+        self, holder: Holder, host: IssuerHost, class_name: str, count: Count | None = None, **fields: Any
+    ) -> Leg:
         """A connection that was open before the proxy began is up again at its issuer host."""
-        authorisation = self._admit(holder, 0.0)
+        authorisation = self._admit(holder, 0.0, count or self.figures.take(class_name))
+        authorisation.count.passed()
         authorisation.over = authorisation.standing = True
         leg = Leg(authorisation, 0, host, self.now(), 0.0)
         authorisation.leg, authorisation.legs = leg, 1
@@ -216,9 +239,9 @@
         if authorisation.over or leg.ended:
             return False
         authorisation.standing = True
+        authorisation.count.passed()
         self._settle(authorisation)
         self._meter(leg.host).add(authorisation.id)
-        self._count("up")
         self._feed(Established(authorisation.id, leg.number, leg.host.number, self.now() - leg.started_at))
         return True
 
@@ -234,6 +257,7 @@
         if authorisation.standing:
             self._meter(leg.host).drop(authorisation.id)
         if outcome is Outcome.OK:
+            authorisation.count.failed()  # unless it stood: to its client any other line than UP is a failure
             self._settle(authorisation)
         final = authorisation.over
         if final:
@@ -246,7 +270,7 @@
         """The client went before it had its answer. Its leg, if one is out, is then to be ended."""
         if authorisation.over:
             return
-        self._count("left")
+        authorisation.count.abandoned()
         self._drop(authorisation)
 
     def lines_sent(self, leg: Leg, count: int) -> None:
@@ -307,9 +331,9 @@
             case SetTimer():
                 self._timers.call_later(action.delay, self._feed, TimerFired(action.name))
             case Refuse():
-                self._answer(action.id, "declined", lambda holder: holder.decline(action.retry_after))
+                self._answer(action.id, Count.dropped, lambda holder: holder.decline(action.retry_after))
             case Fail():
-                self._answer(action.id, "failed", lambda holder: holder.fail())
+                self._answer(action.id, Count.failed, lambda holder: holder.fail())
             case Move():
                 authorisation = self._authorisations.get(action.id)
                 if authorisation is not None and authorisation.standing:
@@ -344,11 +368,11 @@
         self._count("legs")
         authorisation.holder.start_leg(leg)
 
-    def _answer(self, id_: str, what: str, order: Callable[[Holder], None]) -> None:
+    def _answer(self, id_: str, count: Callable[[Count], None], order: Callable[[Holder], None]) -> None:
         authorisation = self._authorisations.get(id_)
         if authorisation is None or authorisation.over:
             return
-        self._count(what)
+        count(authorisation.count)
         self._settle(authorisation)
         holder = authorisation.holder
         if authorisation.leg is None:
@@ -361,6 +385,7 @@
             return
         log.warning("no answer for %s in time", authorisation.id)
         self._count("overdue")
+        authorisation.count.failed()
         holder = authorisation.holder
         self._drop(authorisation)
         holder.fail()
@@ -370,15 +395,16 @@
         for authorisation in list(self._authorisations.values()):
             if not authorisation.over:
                 self._count("declined at the end")
+                authorisation.count.dropped()
                 holder = authorisation.holder
                 self._drop(authorisation)
                 holder.decline(self._config.settings.retry_after_max * 0.2)
 
     # Book-keeping
 
-    def _admit(self, holder: Holder, give_up_at: float) -> Authorisation:
+    def _admit(self, holder: Holder, give_up_at: float, count: Count) -> Authorisation:
         # A number of our own: a client's id that came twice must not mix up two authorisations.
-        authorisation = Authorisation(f"a{next(self._serial)}", give_up_at, holder)
+        authorisation = Authorisation(f"a{next(self._serial)}", give_up_at, holder, count)
         self._authorisations[authorisation.id] = authorisation
         return authorisation
 
@@ -391,6 +417,7 @@
 
     def _forget(self, authorisation: Authorisation) -> None:
         self._authorisations.pop(authorisation.id, None)
+        authorisation.count.ended()
         authorisation.holder = NOBODY
 
     def _settle(self, authorisation: Authorisation) -> None:
--- /dev/null
+++ b/ironmill/lifecycle.py
@@ -0,0 +1,98 @@
+"""Where a process is between its start and its end: one table, no I/O, no clock.
+
+Whoever takes clients, answers the front or the staff, or sends clients away asks here what to do; what
+happened is told here, and nothing else decides it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+
+class State(Enum):
+    """Where the process is."""
+
+    STARTING = "starting"  # discovery has not answered yet
+    HELD = "held"  # the same, and told to drain meanwhile
+    SERVING = "serving"
+    DRAINING = "draining"  # told to send its clients away; the front may not have heard of it yet
+    DRAINED = "drained"  # the front has heard
+    ENDING = "ending"  # it answers what it owes and exits
+    CLOSING = "closing"  # the same, after a drain
+
+
+class Told(Enum):
+    """What may happen to it."""
+
+    OPENED = "opened"  # discovery has answered or failed: clients are taken from now on
+    QUIESCE = "quiesce"
+    HEARD = "heard"  # the front has had the time to hear of the drain
+    RESUME = "resume"
+    END = "end"
+
+
+@dataclass(frozen=True, slots=True)
+class Conduct:
+    """What is done in a state."""
+
+    ready: bool  # the answer to the staff's question whether it serves
+    pong: bool  # and to the front's
+    opens: bool  # requests are taken; else they are declined at once, with a time to come again
+    stays_away: bool  # clients are sent away, and the process stays
+
+
+CONDUCT = {
+    State.STARTING: Conduct(ready=False, pong=True, opens=True, stays_away=False),  # nobody is accepted yet
+    State.HELD: Conduct(ready=False, pong=False, opens=False, stays_away=False),
+    State.SERVING: Conduct(ready=True, pong=True, opens=True, stays_away=False),
+    State.DRAINING: Conduct(ready=False, pong=False, opens=True, stays_away=True),
+    State.DRAINED: Conduct(ready=False, pong=False, opens=False, stays_away=True),
+    # The front is not told no: where a successor listens at the same address it would take that for out.
+    State.ENDING: Conduct(ready=False, pong=True, opens=True, stays_away=False),
+    State.CLOSING: Conduct(ready=False, pong=False, opens=False, stays_away=False),
+}
+
+# What is not named changes nothing. An end is never taken back.
+NEXT = {
+    (State.STARTING, Told.OPENED): State.SERVING,
+    (State.STARTING, Told.QUIESCE): State.HELD,
+    (State.STARTING, Told.END): State.ENDING,
+    (State.HELD, Told.OPENED): State.DRAINED,
+    (State.HELD, Told.RESUME): State.STARTING,
+    (State.HELD, Told.END): State.CLOSING,
+    (State.SERVING, Told.QUIESCE): State.DRAINING,
+    (State.SERVING, Told.END): State.ENDING,
+    (State.DRAINING, Told.HEARD): State.DRAINED,
+    (State.DRAINING, Told.RESUME): State.SERVING,
+    (State.DRAINING, Told.END): State.CLOSING,
+    (State.DRAINED, Told.RESUME): State.SERVING,
+    (State.DRAINED, Told.END): State.CLOSING,
+}
+LAST = (State.ENDING, State.CLOSING)
+
+
+class Lifecycle:
+    """The state of one process."""
+
+    def __init__(self, state: State = State.STARTING) -> None:
+        self.state = state
+        self._watchers: list[Callable[[State], object]] = []
+
+    @property
+    def conduct(self) -> Conduct:
+        """What is done now."""
+        return CONDUCT[self.state]
+
+    def watch(self, told: Callable[[State], object]) -> None:
+        """Tell of each change of the state, after it."""
+        self._watchers.append(told)
+
+    def tell(self, what: Told) -> None:
+        """Take in what happened."""
+        before = self.state
+        self.state = NEXT.get((before, what), before)
+        if self.state is not before:
+            for told in self._watchers:
+                told(self.state)
--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -17,6 +17,7 @@
 
 from ironmill.admission import Admission, Ticket
 from ironmill.config import Config
+from ironmill.figures import Count
 from ironmill.gateway import Authorisation, Gateway, Leg
 from ironmill.net.issuer_host import Dial, LegDriver, LegEnd
 from ironmill.net.sockets import Stream, TimedOutError
@@ -28,12 +29,15 @@
     FirstLine,
     Left,
     Malformed,
+    MalformedLineError,
     Onward,
     Opened,
     SendingEnded,
     Shown,
+    parse_first_line,
 )
 from ironmill.protocol.issuer_host import Relayed
+from ironmill.protocol.lines import END
 from ironmill.scheduler import Scheduler, Task
 from stonegap.interface import Outcome
 
@@ -49,6 +53,7 @@
 CARRY_WAIT = 38.0  # for a connection that was open before the run to be up again
 CARRY_PAUSE = 0.25
 RETRY_FULL = 0.5  # what a client is told when no descriptor is left for it
+RETRY_DRAINED = 0.2  # and when this proxy drains: by then the front sends it to another one
 
 log = logging.getLogger("ironmill.client")
 
@@ -89,9 +94,9 @@
     """Owns the client's socket and the leg's; a ``Holder`` to the gateway."""
 
     __slots__ = (
-        "_admission", "_authorisation", "_client_ended", "_config", "_dial", "_driver", "_first", "_first_by",
-        "_gateway", "_guest", "_leg", "_leg_task", "_move_wanted", "_reader", "_scheduler", "_side",
-        "_stream", "_ticket", "_writing",
+        "_admission", "_authorisation", "_client_ended", "_config", "_count", "_dial", "_driver", "_first",
+        "_first_by", "_gateway", "_guest", "_leg", "_leg_task", "_move_wanted", "_reader", "_scheduler",
+        "_side", "_stream", "_ticket", "_writing",
     )
 
     def __init__(
@@ -109,6 +114,7 @@
         # None where it does not matter who calls.
         self._guest = None if callers is None else callers.guest(self, stream.peer())
         self._first: FirstLine | None = None
+        self._count: Count | None = None  # from its request on
         self._authorisation: Authorisation | None = None
         self._reader: Task | None = None
         self._leg: Leg | None = None  # out or standing, as the gateway knows it
@@ -123,12 +129,21 @@
         """Begin to read, if there is room."""
         self._ticket = self._admission.enter(self._evicted)
         if self._ticket is None:
+            self._count_unheard()
             self._stream.send_now(busy(RETRY_FULL))
             self._stream.close()
             return
         self._stream.on_close = self._closed
         self._reader = self._scheduler.spawn(self.guarded, self._read)
 
+    def _count_unheard(self) -> None:
+        """There is no room to wait for its first line; what has come of it by now says what was refused."""
+        line, end, _ = self._stream.receive_now().partition(END)
+        with contextlib.suppress(MalformedLineError):
+            class_name = parse_first_line(line).fields["c"] if end else ""
+            if self._gateway.knows(class_name):
+                self._gateway.figures.take(class_name).dropped()
+
     def guarded(self, function: Callable[..., object], *args: object) -> None:
         """Run a task of this connection. Guards the others: its exception is logged and ends it alone."""
         try:
@@ -137,6 +152,8 @@
             log.exception("a connection failed")
             standing = self._side.state is ClientState.STANDING
             self._side.close()
+            if self._count is not None:
+                self._count.failed()
             if self._authorisation is not None:
                 self._gateway.left(self._authorisation)
             self._finish(b"" if standing else b"ERR\r\n")
@@ -145,6 +162,8 @@
         """The client's socket is closed: nothing of it counts any more."""
         if self._ticket is not None:
             self._admission.gone(self._ticket)
+        if self._count is not None:
+            self._count.ended()
         if self._guest is not None:
             self._guest.left()
 
@@ -201,6 +220,8 @@
         if reason is not None:
             self._admission.complain(reason)
         self._side.close()
+        if self._count is not None:
+            self._count.failed()
         if self._authorisation is not None:
             self._gateway.left(self._authorisation)
         self._finish(b"ERR\r\n")
@@ -209,7 +230,8 @@
         match event:
             case Asked():
                 self._first_by = time.monotonic() + FIRST_LINE_WAIT
-                self._stream.send(b"PONG\r\n", GENTLE)
+                pong = self._gateway.lifecycle.conduct.pong
+                self._stream.send(b"PONG\r\n" if pong else b"DRAINING\r\n", GENTLE)
             case Shown():
                 self._show(event.token)
             case Opened():
@@ -238,9 +260,15 @@
         if math.isinf(refused):
             self._turn_away(None)  # it is logged and counted by its kind, and the client is not told
         else:
-            self._finish(busy(refused))
+            self._decline(refused)
         return False
 
+    def _decline(self, retry_after: float) -> None:
+        """The final answer, before anything was decided: trying again is harmless, and when."""
+        if self._count is not None:
+            self._count.dropped()
+        self._finish(busy(retry_after))
+
     def _open(self, first: FirstLine) -> None:
         if self._side.state is ClientState.OVER:
             return  # its credential was refused, and its first line came in the same bytes
@@ -250,13 +278,17 @@
         if not self._gateway.knows(first.fields["c"]):
             self._turn_away("a class that does not exist")
             return
+        self._count = self._gateway.figures.take(first.fields["c"])
+        if not self._gateway.lifecycle.conduct.opens:
+            self._decline(RETRY_DRAINED)
+            return
         if self._guest is not None and not self._go_on(self._guest.ask(first.fields["c"])):
             return
         if not self._admission.claim(ticket, first.id):
             self._turn_away("the id of an open connection")
             return
         if not self._admission.admit(ticket):
-            self._finish(busy(RETRY_FULL))
+            self._decline(RETRY_FULL)
             return
         self._first = first
         if "at" in first.fields:
@@ -264,7 +296,8 @@
             return
         wait = int(first.fields["d"]) / 1000.0 if "d" in first.fields else None
         self._authorisation = self._gateway.authorise(
-            self, first.fields["c"], wait, came_at, **request_fields(first), **self._caller_fields()
+            self, first.fields["c"], wait, came_at, self._count, **request_fields(first),
+            **self._caller_fields(),
         )
 
     def _caller_fields(self) -> dict[str, str]:
@@ -369,8 +402,15 @@
             self._scheduler.sleep(CARRY_PAUSE)
         self._side.close()
         self._leg_task = None
+        if self._count is not None:
+            self._count.failed()
         self._finish(b"ERR\r\n")
 
+    def leg_asked(self) -> None:
+        """An attempt is written whole."""
+        if self._count is not None:
+            self._count.tried()
+
     def leg_up(self, driver: LegDriver, data: bytes) -> bool:
         """Pass UP back; from now on all bytes go on unchanged."""
         first = self._first
@@ -381,7 +421,7 @@
             host = self._gateway.issuer_host(first.fields["at"])
             assert host is not None
             self._leg = self._gateway.carry(
-                self, host, first.fields["c"], **request_fields(first), **self._caller_fields()
+                self, host, first.fields["c"], self._count, **request_fields(first), **self._caller_fields()
             )
             self._authorisation = self._leg.authorisation
         elif not self._gateway.up(self._leg):
--- /dev/null
+++ b/ironmill/net/control.py
@@ -0,0 +1,80 @@
+"""The second address, where staff call: one call a connection, answered beside any load.
+
+Its callers are bounded in number and time, so they cost the clients nothing: a call that does not become
+whole in time is given up, and where too many are half way the oldest makes room.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from http import HTTPStatus
+
+from ironmill.net.listener import Listener
+from ironmill.net.sockets import Stream, TimedOutError
+from ironmill.protocol.calls import Answer, Call, CallSide
+from ironmill.scheduler import Scheduler, Task
+from ironmill.staff import Staff
+
+CALLERS_MOST = 12  # at once; their descriptors are among those that Admission sets aside
+CALL_WAIT = 3.0  # from the accept to the call's end, seconds
+ANSWER_WAIT = 1.0  # for the answer to be taken
+END_WAIT = 0.2  # for the caller to end as well
+
+log = logging.getLogger("ironmill.control")
+
+
+class Control:
+    """Listens at the second address."""
+
+    def __init__(self, scheduler: Scheduler, address: tuple[str, int], staff: Staff) -> None:
+        self._scheduler = scheduler
+        self._staff = staff
+        self._callers: dict[Stream, Task] = {}  # the oldest first
+        self._listener = Listener(scheduler, address, self._take, at_once=False)
+        self.address = self._listener.address
+
+    def start(self) -> None:
+        """Answer from now on."""
+        self._listener.start()
+
+    def close(self) -> None:
+        """Take no more calls; those under way are answered."""
+        self._listener.close()
+
+    def _take(self, stream: Stream) -> None:
+        while len(self._callers) >= CALLERS_MOST:
+            oldest = next(iter(self._callers))
+            self._scheduler.kill(self._callers.pop(oldest))
+            oldest.close()
+        self._callers[stream] = self._scheduler.spawn(self._serve, stream)
+
+    def _serve(self, stream: Stream) -> None:
+        try:
+            side = CallSide()
+            answer = self._hear(stream, side)
+            if answer is not None:
+                stream.send(side.answer(answer), ANSWER_WAIT)
+                stream.close_gently(END_WAIT)
+        except (OSError, TimedOutError):
+            pass  # the caller is gone, or does not take its answer
+        finally:
+            self._callers.pop(stream, None)
+            if not stream.closed:
+                stream.close()
+
+    def _hear(self, stream: Stream, side: CallSide) -> Answer | None:
+        """The answer to what comes; None if the caller ends before its call is whole."""
+        until = time.monotonic() + CALL_WAIT
+        while True:
+            try:
+                data = stream.receive(max(0.0, until - time.monotonic()))
+            except TimedOutError:
+                return Answer(HTTPStatus.REQUEST_TIMEOUT)
+            heard = side.receive(data)
+            if isinstance(heard, Call):
+                answer = self._staff.answer(heard)
+                log.info("%s %s: %d", heard.method, heard.path, answer.status)
+                return answer
+            if heard is not None or not data:
+                return heard
--- /dev/null
+++ b/ironmill/net/drain.py
@@ -0,0 +1,54 @@
+"""The drain that staff ask for: the clients are sent away, the process stays."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from ironmill.gateway import Gateway
+from ironmill.lifecycle import CONDUCT, State, Told
+from ironmill.net.send_away import SendAway
+from ironmill.scheduler import Scheduler, Task
+
+# The front asks every 0.1 s and sends for 0.2 s more: whoever comes so late after the call is still taken.
+FRONT = 0.5
+# By then, seconds after the call, the last connection is told to go; 4 s is what the platform allows, and the
+# line under way on one that is told to go has 0.9 s to end.
+MOVED_BY = 2.8
+SETTLED_BY = 3.0  # who is owed an answer then is declined
+LOOK_FOR = 1.0  # what comes to stand all the same is sent away until then, beyond that
+
+log = logging.getLogger("ironmill.drain")
+
+
+class Drain:
+    """Carries out what the state asks for, as long as it asks for it."""
+
+    def __init__(self, scheduler: Scheduler, gateway: Gateway) -> None:
+        self._scheduler = scheduler
+        self._gateway = gateway
+        self._task: Task | None = None
+        gateway.lifecycle.watch(self._changed)
+
+    def _changed(self, state: State) -> None:
+        if state is State.DRAINING:
+            self._task = self._scheduler.spawn(self._run)
+        elif self._task is not None and not CONDUCT[state].stays_away:
+            self._scheduler.kill(self._task)
+            self._task = None
+            log.info("the drain is over: %s", state.value)
+
+    def _run(self) -> None:
+        began = time.monotonic()
+        log.info("draining: %d owed an answer, %d stand", self._gateway.pending(), self._standing())
+        self._scheduler.sleep(FRONT)
+        self._gateway.lifecycle.tell(Told.HEARD)
+        away = SendAway(self._scheduler, self._gateway)
+        away.run(began + MOVED_BY)
+        self._scheduler.sleep(max(0.0, began + SETTLED_BY - time.monotonic()))
+        self._gateway.settle_all()
+        away.run(time.monotonic() + LOOK_FOR)
+        log.info("drained: %d stand", self._standing())
+
+    def _standing(self) -> int:
+        return len(self._gateway.standing())
--- a/ironmill/net/issuer_host.py
+++ b/ironmill/net/issuer_host.py
@@ -30,6 +30,9 @@
     def guarded(self, function: Callable[..., object], *args: object) -> None:
         """Run a task of this connection: its exception ends that connection alone."""
 
+    def leg_asked(self) -> None:
+        """The first line was written whole."""
+
     def leg_up(self, driver: LegDriver, data: bytes) -> bool:
         """UP came; False if nobody waits for the connection any more."""
 
@@ -75,7 +78,7 @@
             answer = None
             if may_start():
                 self.stream.shake(min(deadline, time.monotonic() + connect_timeout))
-                answer = self._ask(self.stream, deadline) if may_start() else None
+                answer = self._ask(owner, self.stream, deadline) if may_start() else None
             if isinstance(answer, Up):
                 if owner.leg_up(self, answer.data):  # else the owner has ended it all
                     self._relay(owner, self.stream, answer.later)
@@ -101,11 +104,12 @@
             self.stream.finish()
             self.stream.close()
 
-    def _ask(self, stream: Stream, deadline: float) -> LegEvent | None:
+    def _ask(self, owner: LegOwner, stream: Stream, deadline: float) -> LegEvent | None:
         """Write the first line and wait for its answer; None if the connection ended without one."""
         unwritten = self.side.connected()
         while unwritten:
             unwritten = self.side.wrote(stream.send_some(unwritten, deadline - time.monotonic()))
+        owner.leg_asked()
         while data := stream.receive(deadline - time.monotonic()):
             for event in self.side.receive(data):
                 return event
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -17,8 +17,10 @@
 from ironmill.config import Address, Config
 from ironmill.garbage import Collector
 from ironmill.gateway import Gateway
+from ironmill.lifecycle import Lifecycle, Told
 from ironmill.net.client import ClientDriver
 from ironmill.net.discovery import Discovery
+from ironmill.net.drain import Drain
 from ironmill.net.listener import Listener
 from ironmill.net.probe import ProbeDriver
 from ironmill.net.reload import Reload, no_operator
@@ -31,6 +33,7 @@
 if TYPE_CHECKING:  # what is off is not imported
     from ironmill.callers import Callers
     from ironmill.identity.keyring import KeyRing
+    from ironmill.net.control import Control
     from ironmill.operator import Operator
 
 # Clients wait so long at the most for the first answer of discovery, seconds. Guards the rule on draining
@@ -55,7 +58,8 @@
             most = config.sockets if hard == resource.RLIM_INFINITY else min(config.sockets, hard)
             resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
         self.scheduler = Scheduler(poller)
-        self.gateway = Gateway(config, self.scheduler)
+        self.lifecycle = Lifecycle()
+        self.gateway = Gateway(config, self.scheduler, self.lifecycle)
         self.gateway.prober = ProbeDriver(
             self.scheduler, config.connect_timeout, self.gateway.probed, self._dial
         )
@@ -80,6 +84,12 @@
             config, read_again, self.discovery.watch_at, read_operator, self._take_operator
         )
         self.listener = Listener(self.scheduler, config.listen, self._take, at_once=False, shared=True)
+        self.control: Control | None = None
+        if config.control is not None:
+            from ironmill.net.control import Control
+            from ironmill.staff import Staff
+
+            self.control = Control(self.scheduler, config.control, Staff(self.gateway))
         self.tls_listener: Listener | None = None
         if operator is not None and operator.settings.tls is not None and operator.tls is not None:
             from ironmill.net.tls import TlsStream
@@ -97,6 +107,10 @@
 
     def serve(self) -> None:
         """Run until SIGTERM or SIGINT has been dealt with."""
+        Drain(self.scheduler, self.gateway)
+        if self.control is not None:
+            self.control.start()
+            log.info("staff call at %s:%d", *self.control.address)
         self.discovery.start()
         self.scheduler.call_later(FIRST_ANSWER_WAIT, self._open)
         shutdown = Shutdown(self.scheduler, self.gateway, self, self._config)
@@ -118,6 +132,7 @@
         self.listener.start()
         if self.tls_listener is not None:
             self.tls_listener.start()
+        self.lifecycle.tell(Told.OPENED)
 
     def give_way(self) -> None:
         """Leave new connections to a process that was started after this one, if there is one."""
--- /dev/null
+++ b/ironmill/net/send_away.py
@@ -0,0 +1,38 @@
+"""Sends standing connections away, evenly over a time: their clients are not to come again all at once."""
+
+from __future__ import annotations
+
+import math
+import time
+
+from ironmill.gateway import Gateway
+from ironmill.scheduler import Scheduler
+
+LOOK = 0.02
+MOVE_WAIT = 0.2  # for the last line under way to end
+
+
+def due(waiting: int, left: float) -> int:
+    """How many of those that wait are sent away at this look, so that the last one goes in time."""
+    return math.ceil(waiting * LOOK / max(LOOK, left - MOVE_WAIT))
+
+
+class SendAway:
+    """One planned departure of all that stands, and of all that comes to stand meanwhile."""
+
+    def __init__(self, scheduler: Scheduler, gateway: Gateway) -> None:
+        self._scheduler = scheduler
+        self._gateway = gateway
+        self._moved: set[str] = set()
+
+    def run(self, end: float) -> None:
+        """Until then on the monotonic clock, or until nothing stands and no answer is owed. Parks.
+
+        Also where packets pass through: what stands when the process ends is set up anew there, too.
+        """
+        while (left := end - time.monotonic()) > 0.0 and self._gateway.busy():
+            waiting = [one for one in self._gateway.standing() if one.id not in self._moved]
+            for authorisation in waiting[: due(len(waiting), left)]:
+                self._moved.add(authorisation.id)
+                authorisation.holder.move()
+            self._scheduler.sleep(LOOK)
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 import logging
-import math
 import time
 from typing import Protocol
 
 from ironmill.config import Config
 from ironmill.gateway import Gateway
+from ironmill.lifecycle import Told
+from ironmill.net.send_away import SendAway
 from ironmill.scheduler import Scheduler
 
 ACCEPT_FOR = 0.5  # new connections go on coming for up to 0.4 s
-LOOK = 0.02
 # What stands is sent away from then on: restarts follow each other, and the proxy before may be back by then.
 MOVE_AFTER = 1.5
-MOVE_WAIT = 0.2  # for the last line under way to end
 # The end by force comes no sooner than the longest deadline (counted as 3 s at the most) and 0.7 s more.
 LONGEST = 3.0
 GRACE = 0.7
@@ -50,6 +49,7 @@
         if self._ending:
             return
         self._ending = True
+        self._gateway.lifecycle.tell(Told.END)
         self._drain()
         self._scheduler.stop()
 
@@ -63,21 +63,8 @@
         self._listener.give_way()  # once more: a successor may have begun to listen only now
         self._listener.close()
         self._scheduler.sleep(MOVE_AFTER - ACCEPT_FOR)
-        self._move_all(end - FLUSH)
+        SendAway(self._scheduler, self._gateway).run(end - FLUSH)
         self._gateway.settle_all()  # guards what is still owed against the end by force
         self._scheduler.sleep(FLUSH)
-        log.info("ended: %s", self._gateway.counts)
-
-    def _move_all(self, end: float) -> None:
-        """Send away what stands, evenly over the time, so that the clients do not all come again at once.
-
-        Also where packets pass through: what stands when the process ends is set up anew there, too.
-        """
-        moved: set[str] = set()
-        while (left := end - time.monotonic()) > 0.0 and self._gateway.busy():
-            waiting = [one for one in self._gateway.standing() if one.id not in moved]
-            # So many a look that the last one goes at the end.
-            for authorisation in waiting[: math.ceil(len(waiting) * LOOK / max(LOOK, left - MOVE_WAIT))]:
-                moved.add(authorisation.id)
-                authorisation.holder.move()
-            self._scheduler.sleep(LOOK)
+        figures, counts = self._gateway.figures, self._gateway.counts
+        log.info("ended: %s, %d attempts, %s", figures.by_outcome(), figures.upstream_tries, counts)
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -122,6 +122,13 @@
             in_time = self._scheduler.wait(self._sock.fileno(), READ, timeout)
             self.drained = False
 
+    def receive_now(self) -> bytes:
+        """What has come by now, perhaps nothing."""
+        try:
+            return self._sock.recv(CHUNK)
+        except OSError:
+            return b""
+
     def when_readable(self, function: Callable[..., object], *args: Any) -> Task:
         """A task that begins once there is something to read, an end or an error among it."""
         self.drained = False
--- a/ironmill/routing_table.py
+++ b/ironmill/routing_table.py
@@ -64,6 +64,7 @@
     uid: str
     address: tuple[str, int]
     leaving_since: float | None = None  # when this proxy was told that it drains or is gone
+    listed: bool = True  # in the list as last told
 
 
 class RoutingTable:
@@ -83,9 +84,14 @@
             present = {listed.uid for listed in routing.listed}
             for host in self._by_uid.values():
                 if host.uid not in present:
+                    host.listed = False
                     self._leave(host, now)
         return ListChanged(ListKind.FULL if routing.full else ListKind.DELTA, entries)
 
+    def listed(self) -> list[IssuerHost]:
+        """The issuer hosts in the list, the draining ones among them."""
+        return [host for host in self._by_uid.values() if host.listed]
+
     def by_uid(self, uid: str) -> IssuerHost | None:
         """The issuer host of that uid, if it has ever been told."""
         return self._by_uid.get(uid)
@@ -102,6 +108,7 @@
             host = IssuerHost(self._number(listed.uid), listed.uid, address)
             self._by_uid[listed.uid] = self._by_number[host.number] = host
         host.address = address
+        host.listed = listed.stage is not Stage.GONE
         if listed.stage is Stage.READY:
             host.leaving_since = None
         else:
--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -648,6 +648,13 @@
         """What the count of each ready backend reads, symptoms included."""
         return {backend: self._table.count(backend) for backend in self._backends if backend in self._table}
 
+    def left_out(self) -> set[int]:
+        """The ready backends that get nothing new because one attempt there after another came to nothing."""
+        if not self._may_leave_out():
+            return set()
+        now = self._now
+        return {one.id for one in self._backends.values() if one.ready and self._breaker.out(one, now)}
+
     # The list of backends
 
     def _list_changed(self, event: ListChanged) -> None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -94,7 +94,7 @@
         assert answer(town, b"AUTH \r\n" + OPEN) == b"ERR\r\n"
         assert answer(town, b"AUTH " + b"x" * 5000) == b"ERR\r\n"
         assert town.arrived == []
-        assert town.gateway.counts.get("authorisations", 0) == 0
+        assert town.gateway.counts.get("legs", 0) == 0
         counts = town.callers.counts()
         assert counts["refused missing"] == 1
         assert counts["refused expired"] == 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,6 +16,7 @@
 from ironmill.admission import Admission
 from ironmill.callers import Callers
 from ironmill.delay import DelayMeter
+from ironmill.figures import ClassFigures
 from ironmill.gateway import Gateway
 from ironmill.net import client as client_module
 from ironmill.net import discovery as discovery_module
@@ -308,7 +309,9 @@
         read_line(leg)
         client.close()
         assert leg.receive(5.0) == b""
-        assert town.gateway.counts == {"authorisations": 1, "legs": 1, "left": 1, "leg CANCELLED": 1}
+        assert town.gateway.counts == {"legs": 1, "leg CANCELLED": 1}
+        counted = ClassFigures(taken=1, abandoned=1, upstream_tries=1)
+        assert town.gateway.figures.classes["read"] == counted
 
     Town().run(story)
 
--- /dev/null
+++ b/tests/test_staff.py
@@ -0,0 +1,264 @@
+"""Staff's second address: the calls, the table behind them, the driver beside callers that never finish."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ironmill.figures import ClassFigures, Figures
+from ironmill.lifecycle import Lifecycle, State, Told
+from ironmill.net import control as control_module
+from ironmill.net import drain as drain_module
+from ironmill.net.control import CALLERS_MOST, Control
+from ironmill.net.drain import Drain
+from ironmill.net.sockets import Stream
+from ironmill.protocol.calls import BODY_MOST, HEAD_MOST, Answer, Call, CallSide
+from ironmill.staff import Staff
+from tests.test_net import OPEN, Town, read_line
+
+GET = b"GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Served:
+    """What the figures come from."""
+
+    def __init__(self, state: State = State.SERVING) -> None:
+        self.lifecycle = Lifecycle(state)
+        self.figures = Figures(["read"])
+
+    def known_servers(self) -> int:
+        return 4
+
+    def skipped_servers(self) -> int:
+        return 1
+
+
+def hear(data: bytes, step: int = 1 << 20) -> Call | Answer | None:
+    side, heard = CallSide(), None
+    for at in range(0, len(data), step):
+        heard = side.receive(data[at : at + step])
+        if heard is not None:
+            break
+    return heard
+
+
+@given(st.integers(1, 60))
+def test_a_call_is_whole_however_its_bytes_come(step: int) -> None:
+    assert hear(GET, step) == Call("GET", "/admin/health")
+    post = b"POST /admin/quiesce?a=b HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello"
+    assert hear(post, step) == Call("POST", "/admin/quiesce")
+    assert hear(post[:-1], step) is None
+
+
+@given(st.binary(max_size=200))
+def test_rubbish_is_answered_or_waited_for_and_never_fails(data: bytes) -> None:
+    side = CallSide()
+    heard = side.receive(data) if data else side.receive(b"")
+    if isinstance(heard, Answer):
+        assert heard.status >= 400
+        assert side.answer(heard).startswith(b"HTTP/1.1 %d " % heard.status)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"HELLO\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n\r\n", 400),  # no Host
+        (b"GET / HTTP/1.1\r\nHost: x\r\nx: " + b"y" * (2 * HEAD_MOST) + b"\r\n\r\n", 431),
+        (b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n" + b"z" * (BODY_MOST + 1), 413),
+    ],
+)
+def test_what_can_be_no_call_has_an_answer(data: bytes, status: int) -> None:
+    heard = hear(data, 4096)
+    assert isinstance(heard, Answer)
+    assert heard.status == status
+
+
+def test_the_table_of_calls() -> None:
+    served = Served()
+    staff = Staff(served)
+
+    def ask(method: str, path: str) -> tuple[int, Any]:
+        answer = staff.answer(Call(method, path))
+        return int(answer.status), orjson.loads(answer.body) if answer.body else dict(answer.headers)
+
+    assert ask("GET", "/admin/health") == (200, {"state": "serving"})
+    assert ask("POST", "/admin/quiesce") == (200, {"state": "draining"})
+    assert ask("POST", "/admin/quiesce") == (200, {"state": "draining"})
+    assert ask("GET", "/admin/health")[0] == 503
+    assert ask("POST", "/admin/resume") == (200, {"state": "serving"})
+    assert ask("POST", "/admin/resume")[0] == 200
+    assert ask("GET", "/admin/nothing")[0] == 404
+    assert ask("GET", "/admin/quiesce") == (405, {"Allow": "POST"})
+    assert ask("DELETE", "/admin/stats") == (405, {"Allow": "GET"})
+    served.figures.take("read").passed()
+    served.figures.take("read").dropped()
+    status, stats = ask("GET", "/admin/stats")
+    assert (status, stats["passed"], stats["dropped"], stats["bad_gateway"]) == (
+        200, {"read": 1}, {"read": 1}, {"read": 0}
+    )
+    assert (stats["in_progress"], stats["known_servers"], stats["skipped_servers"]) == (1, 4, 1)
+    assert stats["upstream_tries"] == 0  # one number, as the platform reads it
+    served.lifecycle.tell(Told.END)
+    assert ask("GET", "/admin/health")[0] == 503
+    assert ask("POST", "/admin/quiesce")[0] == 200
+    assert ask("POST", "/admin/resume")[0] == 409
+
+
+STEPS = ("passed", "dropped", "failed", "abandoned", "ended", "tried")
+
+
+@given(st.lists(st.tuples(st.integers(0, 9), st.sampled_from(STEPS))))
+def test_each_request_is_counted_once_at_any_instant(steps: list[tuple[int, str]]) -> None:
+    figures = Figures(["read", "write"])
+    counts = [figures.take("read" if at % 2 else "write") for at in range(10)]
+    outcomes: dict[int, str] = {}
+    over: set[int] = set()
+    for which, step in steps:
+        getattr(counts[which], step)()
+        if step in STEPS[:4]:
+            outcomes.setdefault(which, step)
+        if step == "ended":
+            outcomes.setdefault(which, "abandoned")
+            over.add(which)
+        over |= {at for at, outcome in outcomes.items() if outcome != "passed"}
+        for one in figures.classes.values():
+            assert one.taken == 5
+            assert one.pending >= 0
+        told = [sum(by.values()) for by in figures.by_outcome().values()][1:]
+        assert told == [list(outcomes.values()).count(name) for name in STEPS[:4]]
+        assert figures.in_progress == 10 - len(over)
+
+
+class Called:
+    """A town whose staff's address answers."""
+
+    def __init__(self) -> None:
+        self.town = Town()
+        self.control = Control(self.town.scheduler, ("127.0.0.1", 0), Staff(self.town.gateway))
+        self.control.start()
+        Drain(self.town.scheduler, self.town.gateway)
+
+    def connect(self, data: bytes) -> Stream:
+        stream = Stream.connect(self.town.scheduler, self.control.address, 1.0)
+        stream.send(data)
+        return stream
+
+    def ask(self, method: str, path: str) -> tuple[int, bytes]:
+        stream = self.connect(b"%s %s HTTP/1.1\r\nHost: x\r\n\r\n" % (method.encode(), path.encode()))
+        data = b""
+        while piece := stream.receive(5.0):
+            data += piece
+        stream.close()
+        return int(data.split(b" ", 2)[1]), data.partition(b"\r\n\r\n")[2]
+
+    def run(self, story: Callable[[], None]) -> None:
+        self.town.run(lambda _: story())
+        self.control.close()
+
+
+def test_half_calls_neither_hold_up_others_nor_stay(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(control_module, "CALL_WAIT", 0.3)
+    it = Called()
+
+    def story() -> None:
+        half = [it.connect(GET[:20]) for _ in range(200)]
+        assert it.ask("GET", "/admin/health")[0] == 200
+        answers = []
+        for stream in half:
+            data = b""
+            while piece := stream.receive(5.0):
+                data += piece
+            answers.append(data[:12])
+            stream.close()
+        # The oldest made room; those that were left had their time.
+        assert answers.count(b"") >= 200 - CALLERS_MOST
+        assert set(answers[-CALLERS_MOST + 1 :]) == {b"HTTP/1.1 408"}
+        assert it.ask("GET", "/admin/health")[0] == 200
+
+    it.run(story)
+
+
+def test_a_caller_that_breaks_off_costs_nothing() -> None:
+    it = Called()
+
+    def story() -> None:
+        for data in (b"", GET[:7], GET):
+            it.connect(data).abort()
+        assert it.ask("GET", "/admin/health")[0] == 200
+
+    it.run(story)
+
+
+def test_a_drain_and_its_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name, value in (("FRONT", 0.05), ("MOVED_BY", 0.4), ("SETTLED_BY", 0.5), ("LOOK_FOR", 0.1)):
+        monkeypatch.setattr(drain_module, name, value)
+    it = Called()
+    town = it.town
+
+    def story() -> None:
+        client, leg = town.pair()
+        asking = town.client(b"PING\r\n")
+        assert read_line(asking) == b"PONG\r\n"
+        assert it.ask("POST", "/admin/quiesce")[0] == 200
+        asking.send(b"PING\r\n")
+        assert read_line(asking) == b"DRAINING\r\n"
+        # Whom the front still sends is served, and then sent away like the others.
+        late = town.client(OPEN.replace(b"1a", b"1b"))
+        late_leg = town.leg()
+        read_line(late_leg)
+        late_leg.send(b"UP r2\r\n")
+        assert read_line(late) == b"UP r2\r\n"
+        # Nothing comes for this one; it has its answer at the end of the drain.
+        stuck = town.client(OPEN.replace(b"1a", b"1c"))
+        stuck_leg = town.leg()
+        assert [read_line(one) for one in (client, late)] == [b"MOVE\r\n"] * 2
+        assert read_line(stuck).startswith(b"BUSY ")
+        for stream in (client, late, stuck, leg, late_leg, stuck_leg):
+            stream.close()
+        assert read_line(town.client(OPEN.replace(b"1a", b"1d"))) == b"BUSY 200\r\n"
+        town.until(lambda: not town.gateway.busy())
+        assert it.ask("POST", "/admin/resume")[0] == 200
+        asking.send(b"PING\r\n")
+        assert read_line(asking) == b"PONG\r\n"
+        town.arrived.clear()  # what came for the one that was stuck
+        town.pair()
+        counted = town.gateway.figures.classes["read"]
+        assert counted == ClassFigures(5, passed=3, dropped=2, upstream_tries=counted.upstream_tries)
+        assert counted.upstream_tries >= 4
+        assert town.gateway.figures.in_progress == 1
+
+    it.run(story)
+
+
+def test_a_drain_that_is_taken_back_half_way_keeps_the_rest(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(drain_module, "FRONT", 0.0)
+    it = Called()
+    town = it.town
+
+    def story() -> None:
+        pairs = []
+        for at in range(12):
+            client = town.client(OPEN.replace(b"1a", b"%x" % (at + 32)))
+            leg = town.leg()
+            read_line(leg)
+            leg.send(b"UP r\r\n")
+            read_line(client)
+            pairs.append((client, leg))
+        it.ask("POST", "/admin/quiesce")
+        town.until(lambda: len(town.gateway.standing()) < 12)
+        it.ask("POST", "/admin/resume")
+        left = len(town.gateway.standing())
+        assert left > 0
+        town.scheduler.sleep(0.3)
+        assert len(town.gateway.standing()) == left
+        for client, leg in pairs:
+            client.close()
+            leg.close()
+
+    it.run(story)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -283,7 +283,7 @@
             with pytest.raises(OSError):
                 town.secure(context=context)
         until_gone(town)
-        assert town.gateway.counts.get("authorisations", 0) == 0
+        assert town.gateway.counts.get("legs", 0) == 0
 
     TlsTown(authority, minimum="1.3").run(story)
 
