--- a/ironmill/cli.py
+++ b/ironmill/cli.py
@@ -40,12 +40,8 @@
 import sys
 import time
 from collections.abc import Mapping, Sequence
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-import orjson
-from docopt import docopt
-
 from ironmill import __version__, logs
 from ironmill.config import Config, load
 from ironmill.net.proxy import Proxy
@@ -58,19 +54,22 @@
     from ironmill.operator import Operator
 
 
+DEFAULT_POLLER = "epoll"
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the sub-command; the exit status."""
-    words = docopt(__doc__, argv=list(sys.argv[1:] if argv is None else argv))
+    argv = list(sys.argv[1:] if argv is None else argv)
+    if argv == ["serve"]:  # as the platform starts it; to read the usage for that takes a tenth of the start
+        return _serve(None, None, DEFAULT_POLLER)
+    from docopt import docopt
+
+    words = docopt(__doc__, argv=argv)
     if words["version"]:
         print(f"ironmill {__version__}")
         return 0
     if words["serve"]:
-        # Before the file is read: by default SIGHUP would end the process.
-        signals = Signals()
-        try:
-            return serve(words["--config"], words["--settings"], signals, words["--poller"])
-        finally:
-            signals.close()
+        return _serve(words["--config"], words["--settings"], words["--poller"])
     if words["keys"] or words["token"]:
         return _keys_or_token(words)
     read_all = read(os.environ, words["--config"], words["--settings"])
@@ -90,8 +89,20 @@
     return 0
 
 
+def _serve(path: str | None, settings: str | None, poller: str) -> int:
+    signals = Signals()  # before the file is read: by default SIGHUP would end the process
+    try:
+        return serve(path, settings, signals, poller)
+    finally:
+        signals.close()
+
+
 def _keys_or_token(words: Mapping[str, Any]) -> int:
-    from ironmill.commands import keys  # here, for a proxy needs none of it
+    from pathlib import Path  # here, for a proxy needs none of it
+
+    import orjson
+
+    from ironmill.commands import keys
 
     try:
         store = keys.KeyStore(Path(words["--store"] or "."))
--- a/ironmill/config.py
+++ b/ironmill/config.py
@@ -3,22 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
-from pathlib import Path
 
-import orjson
+from msgspec import Struct, structs
 
 from ironmill.routing_table import Routing, parse_routing
 from stonegap.interface import Settings
-from stonegap.settings import MalformedError, Tree, settings_from
+from stonegap.settings import MalformedError, Tree, from_json, settings_from
 
 Address = tuple[str, int]
 
 SOCKETS_LEAST, SOCKETS_MOST = 64, 1 << 20
 
 
-@dataclass(frozen=True, slots=True)
-class Config:
+class Config(Struct, frozen=True):
     """One proxy's configuration. Times are in seconds."""
 
     name: str
@@ -61,12 +58,11 @@
     if not path:
         raise MalformedError("configuration: PROXY_CONFIG is not set, and no --config is given")
     try:
-        value = orjson.loads(Path(path).read_bytes())
-        root = Tree(value, "", "configuration")
+        with open(path, "rb") as file:
+            value = from_json(file.read(), f"configuration: PROXY_CONFIG: {path} is")
     except OSError as error:
         raise MalformedError(f"configuration: PROXY_CONFIG: {path}: {error.strerror}") from None
-    except orjson.JSONDecodeError as error:
-        raise MalformedError(f"configuration: PROXY_CONFIG: {path} is not JSON ({error})") from None
+    root = Tree(value, "", "configuration")
     seed_text = root.text("seed", "0")
     try:
         seed = int(seed_text, 16)
@@ -75,7 +71,7 @@
     settings_tree = root.tree("settings")
     # On these sockets a standing connection brings its lines back at once however long the messages of
     # its issuer host take, so the decisions must not count on being told of a jam.
-    settings = replace(settings_from(settings_tree), tells_delay=False)
+    settings = structs.replace(settings_from(settings_tree), tells_delay=False)
     sockets = root.tree("limits", {}).number("sockets", 1024)
     if not SOCKETS_LEAST <= sockets <= SOCKETS_MOST:
         raise MalformedError(f"configuration: limits.sockets is not from {SOCKETS_LEAST} to {SOCKETS_MOST}")
--- a/ironmill/figures.py
+++ b/ironmill/figures.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, fields
 
+from msgspec import Struct
 
-@dataclass(slots=True)
-class ClassFigures:
+
+class ClassFigures(Struct):
     """Requests of one class since the start of the process."""
 
     taken: int = 0
@@ -100,6 +100,6 @@
     def by_outcome(self) -> dict[str, dict[str, int]]:
         """What became of the requests, by outcome and class."""
         return {
-            field.name: {name: getattr(one, field.name) for name, one in self.classes.items()}
-            for field in fields(ClassFigures) if field.name != "upstream_tries"
+            field: {name: getattr(one, field) for name, one in self.classes.items()}
+            for field in ClassFigures.__struct_fields__ if field != "upstream_tries"
         }
--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -12,9 +12,10 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, Protocol
 
+from msgspec import Struct
+
 from ironmill.config import Config
 from ironmill.delay import DelayMeter
 from ironmill.figures import Count, Figures
@@ -97,8 +98,7 @@
         """Ask the issuer host for its load report; ``Gateway.probed`` is then told. Must not park."""
 
 
-@dataclass(slots=True, eq=False)
-class Authorisation:
+class Authorisation(Struct, eq=False):
     """A client's request, from its arrival until its connection is over."""
 
     id: str
@@ -113,8 +113,7 @@
     deadline: Timer | None = None
 
 
-@dataclass(slots=True, eq=False)
-class Leg:
+class Leg(Struct, eq=False):
     """One attempt of an authorisation at one issuer host."""
 
     authorisation: Authorisation
--- a/ironmill/lifecycle.py
+++ b/ironmill/lifecycle.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 
 class State(Enum):
     """Where the process is."""
@@ -33,8 +34,7 @@
     END = "end"
 
 
-@dataclass(frozen=True, slots=True)
-class Conduct:
+class Conduct(Struct, frozen=True):
     """What is done in a state."""
 
     ready: bool  # the answer to the staff's question whether it serves
--- a/ironmill/net/control.py
+++ b/ironmill/net/control.py
@@ -9,13 +9,17 @@
 import logging
 import time
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 from ironmill.net.listener import Listener
 from ironmill.net.sockets import Stream, TimedOutError
-from ironmill.protocol.calls import Answer, Call, CallSide
+from ironmill.protocol.call import Answer, Call
 from ironmill.scheduler import Scheduler, Task
 from ironmill.staff import Staff
 
+if TYPE_CHECKING:
+    from ironmill.protocol.calls import CallSide
+
 CALLERS_MOST = 12  # at once; their descriptors are among those that Admission sets aside
 CALL_WAIT = 3.0  # from the accept to the call's end, seconds
 ANSWER_WAIT = 1.0  # for the answer to be taken
@@ -50,6 +54,8 @@
         self._callers[stream] = self._scheduler.spawn(self._serve, stream)
 
     def _serve(self, stream: Stream) -> None:
+        from ironmill.protocol.calls import CallSide  # at the first call: h11 is a tenth of the start
+
         try:
             side = CallSide()
             answer = self._hear(stream, side)
--- a/ironmill/net/discovery.py
+++ b/ironmill/net/discovery.py
@@ -5,15 +5,13 @@
 import logging
 from collections.abc import Callable
 
-import orjson
-
 from ironmill.config import Address
 from ironmill.net.sockets import Stream, TimedOutError
 from ironmill.pace import CallPace
 from ironmill.protocol.http import HttpError, Response, ResponseParser
 from ironmill.routing_table import Routing, parse_routing
 from ironmill.scheduler import Scheduler, Task
-from stonegap.settings import MalformedError, Tree
+from stonegap.settings import MalformedError, Tree, from_json
 
 # How long a call for changes may wait at the agent. Short, though the agent would wait for a minute: a call
 # that is lost on its way, or held by an agent that has gone deaf, is only found out when its time is over.
@@ -121,10 +119,8 @@
         self._answered = True
         if response.status != 200:
             raise HttpError(f"status {response.status}")
-        try:
-            routing = parse_routing(Tree(orjson.loads(response.body), "", "routing table"))
-        except orjson.JSONDecodeError as error:
-            raise HttpError(f"not JSON ({error})") from None
+        value = from_json(response.body, "routing table:")
+        routing = parse_routing(Tree(value, "", "routing table"))
         if routing.full or self._revision is not None:
             self._revision = routing.revision
             self._take(self, routing)
--- a/ironmill/net/issuer_host.py
+++ b/ironmill/net/issuer_host.py
@@ -4,17 +4,17 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 from ironmill.net.sockets import Stream, TimedOutError
 from ironmill.protocol.issuer_host import Declined, IssuerHostSide, LegEvent, Relayed, Report, Up
 from ironmill.scheduler import Task
 from stonegap.interface import Outcome
 
 
-@dataclass(frozen=True, slots=True)
-class LegEnd:
+class LegEnd(Struct, frozen=True):
     """How a leg ended."""
 
     outcome: Outcome
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -8,7 +8,6 @@
 import signal
 import socket
 from collections.abc import Callable
-from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -171,6 +170,8 @@
         old = self._operator
         if old is None:
             return
+        from dataclasses import replace  # here, for the start is short without it
+
         old_listen = None if old.settings.tls is None else old.settings.tls.listen
         new_listen = None if operator.settings.tls is None else operator.settings.tls.listen
         if old_listen != new_listen:
--- a/ironmill/protocol/calls.py
+++ b/ironmill/protocol/calls.py
@@ -2,34 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
 from http import HTTPStatus
-from types import MappingProxyType
 
 import h11
 
+from ironmill.protocol.call import Answer, Call
+
 HEAD_MOST = 8 * 1024
 BODY_MOST = 64 * 1024  # no call wants one; it is read and thrown away
 
 
-@dataclass(frozen=True, slots=True)
-class Call:
-    """A whole call."""
-
-    method: str
-    path: str  # without its query
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """What it is answered."""
-
-    status: HTTPStatus
-    body: bytes = b""
-    headers: Mapping[str, str] = field(default_factory=lambda: MappingProxyType({}))
-
-
 class CallSide:
     """One connection with one call."""
 
--- a/ironmill/protocol/client.py
+++ b/ironmill/protocol/client.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from enum import Enum, auto
 from typing import TypeAlias
 
+from msgspec import Struct
+
 from ironmill.protocol.lines import END, LIMIT, Lines, LineTooLongError
 
 HELD_LIMIT = LIMIT  # of what a connection that was open elsewhere sends before it is up again here
@@ -19,8 +20,7 @@
     """A first line that is not in the protocol's form."""
 
 
-@dataclass(frozen=True, slots=True)
-class FirstLine:
+class FirstLine(Struct, frozen=True):
     """The line that opens a connection: the bytes that came, and the fields taken out of them."""
 
     raw: bytes  # with its end
@@ -58,47 +58,40 @@
     return FirstLine(line + END, words[1], words[2], fields)
 
 
-@dataclass(frozen=True, slots=True)
-class Asked:
+class Asked(Struct, frozen=True):
     """The front asks whether the proxy is there."""
 
 
-@dataclass(frozen=True, slots=True)
-class Shown:
+class Shown(Struct, frozen=True):
     """The client shows a credential, which goes no further."""
 
     token: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Opened:
+class Opened(Struct, frozen=True):
     """The client asks for a connection."""
 
     first: FirstLine
 
 
-@dataclass(frozen=True, slots=True)
-class Malformed:
+class Malformed(Struct, frozen=True):
     """The client does not speak the protocol: one plain answer and a close. Its leg, if any, ends."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class Onward:
+class Onward(Struct, frozen=True):
     """Bytes for the issuer host, and how many lines they complete."""
 
     data: bytes
     lines: int
 
 
-@dataclass(frozen=True, slots=True)
-class Left:
+class Left(Struct, frozen=True):
     """The client went before it had its answer."""
 
 
-@dataclass(frozen=True, slots=True)
-class SendingEnded:
+class SendingEnded(Struct, frozen=True):
     """The client will send no more on its standing connection."""
 
 
--- a/ironmill/protocol/http.py
+++ b/ironmill/protocol/http.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, auto
 
+from msgspec import Struct
+
 HEAD_LIMIT = 16 * 1024
 BODY_LIMIT = 8 * 1024 * 1024
 
@@ -13,8 +14,7 @@
     """The bytes are no response that this parser takes."""
 
 
-@dataclass(frozen=True, slots=True)
-class Response:
+class Response(Struct, frozen=True):
     """A whole response."""
 
     status: int
--- a/ironmill/protocol/issuer_host.py
+++ b/ironmill/protocol/issuer_host.py
@@ -3,34 +3,32 @@
 from __future__ import annotations
 
 import contextlib
-from dataclasses import dataclass
 from enum import Enum, auto
 from typing import TypeAlias
 
+from msgspec import Struct
+
 from ironmill.protocol.lines import END, Lines, LineTooLongError
 from stonegap.interface import Outcome
 
 Report = tuple[tuple[str, float], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Up:
+class Up(Struct, frozen=True):
     """The connection stands. The data is the UP line and goes to the client as it is."""
 
     data: bytes
     later: bytes  # what came behind it, to be fed again once the client has the UP line
 
 
-@dataclass(frozen=True, slots=True)
-class Declined:
+class Declined(Struct, frozen=True):
     """The issuer host gave another answer than UP."""
 
     outcome: Outcome
     line: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Relayed:
+class Relayed(Struct, frozen=True):
     """Bytes for the client; how many lines among them answer one of the client's."""
 
     data: bytes
--- a/ironmill/routing_table.py
+++ b/ironmill/routing_table.py
@@ -4,7 +4,8 @@
 
 import hashlib
 import logging
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from stonegap.interface import Entry, ListChanged, ListKind, Stage
 from stonegap.settings import MalformedError, Tree
@@ -14,8 +15,7 @@
 log = logging.getLogger("ironmill.routing_table")
 
 
-@dataclass(frozen=True, slots=True)
-class Listed:
+class Listed(Struct, frozen=True):
     """One issuer host as discovery lists it."""
 
     uid: str
@@ -28,8 +28,7 @@
     boot: float  # Unix time in seconds; 0: long ago
 
 
-@dataclass(frozen=True, slots=True)
-class Routing:
+class Routing(Struct, frozen=True):
     """One answer of discovery."""
 
     revision: int
@@ -56,8 +55,7 @@
     return Routing(int(tree.number("rev")), tree.flag("all", False), tuple(listed))
 
 
-@dataclass(slots=True)
-class IssuerHost:
+class IssuerHost(Struct):
     """What is held of one issuer host. It stays known once it has been told, also after it left."""
 
     number: int
--- a/ironmill/staff.py
+++ b/ironmill/staff.py
@@ -6,11 +6,11 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
-import orjson
+import msgspec
 
 from ironmill.figures import Figures
 from ironmill.lifecycle import LAST, Lifecycle, Told
-from ironmill.protocol.calls import Answer, Call
+from ironmill.protocol.call import Answer, Call
 
 
 class Served(Protocol):
@@ -71,4 +71,4 @@
         return self._told(HTTPStatus.CONFLICT if self._lifecycle.state in LAST else HTTPStatus.OK)
 
     def _told(self, status: HTTPStatus, **more: Any) -> Answer:
-        return Answer(status, orjson.dumps({"state": self._lifecycle.state.value, **more}) + b"\n")
+        return Answer(status, msgspec.json.encode({"state": self._lifecycle.state.value, **more}) + b"\n")
--- a/stonegap/interface.py
+++ b/stonegap/interface.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 from typing import TypeAlias
 
+from msgspec import Struct
+
 
 class Effect(Enum):
     """How safe it is to run a request again."""
@@ -70,8 +71,7 @@
     DELAY = "delay"  # milliseconds that a message takes at the backend now
 
 
-@dataclass(frozen=True, slots=True)
-class RequestClass:
+class RequestClass(Struct, frozen=True):
     """One class of requests."""
 
     name: str
@@ -83,8 +83,7 @@
     window: float = 0.0  # how long repeats of a keyed request are dropped, from its first send
 
 
-@dataclass(frozen=True, slots=True)
-class Tenant:
+class Tenant(Struct, frozen=True):
     """A customer with a share of the fleet; what it sends beyond that share is worth little."""
 
     name: str
@@ -92,15 +91,13 @@
     quota_connections: float
 
 
-@dataclass(frozen=True, slots=True)
-class Prices:
+class Prices(Struct, frozen=True):
     """What is taken off the result, each times its rate; so far only one weighs in a decision."""
 
     handshake: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Settings:
+class Settings(Struct, frozen=True):
     """What a relay is told once, at its start."""
 
     relays: int
@@ -125,8 +122,7 @@
 # --- events --------------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(Struct, frozen=True):
     """A backend as discovery lists it."""
 
     backend: int
@@ -137,16 +133,14 @@
     weight: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class ListChanged:
+class ListChanged(Struct, frozen=True):
     """News from discovery, or the failure of a call to it."""
 
     kind: ListKind
     entries: tuple[Entry, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
+class Request(Struct, frozen=True):
     """A client wants a connection."""
 
     id: str
@@ -160,16 +154,14 @@
     rerouted: bool = False  # mid-flow packets of a connection that some backend still holds
 
 
-@dataclass(frozen=True, slots=True)
-class Carried:
+class Carried(Struct, frozen=True):
     """A connection that was already open through this relay when it started."""
 
     request: Request
     backend: int
 
 
-@dataclass(frozen=True, slots=True)
-class Established:
+class Established(Struct, frozen=True):
     """The attempt's connection stands; its time-out no longer holds."""
 
     id: str
@@ -178,8 +170,7 @@
     delay: float
 
 
-@dataclass(frozen=True, slots=True)
-class Ended:
+class Ended(Struct, frozen=True):
     """The attempt is over. Exactly one comes for each ``Send``."""
 
     id: str
@@ -191,8 +182,7 @@
     report: tuple[tuple[str, float], ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Note:
+class Note(Struct, frozen=True):
     """News of an open connection."""
 
     id: str
@@ -202,8 +192,7 @@
     value: float
 
 
-@dataclass(frozen=True, slots=True)
-class Probed:
+class Probed(Struct, frozen=True):
     """What a ``Probe`` brought back."""
 
     backend: int
@@ -211,15 +200,13 @@
     report: tuple[tuple[str, float], ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Abandoned:
+class Abandoned(Struct, frozen=True):
     """The client left; nothing is owed any more."""
 
     id: str
 
 
-@dataclass(frozen=True, slots=True)
-class TimerFired:
+class TimerFired(Struct, frozen=True):
     """A timer asked for by ``SetTimer`` ran out."""
 
     name: str
@@ -233,8 +220,7 @@
 # --- actions -------------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(Struct, frozen=True):
     """Start an attempt for the request at a backend."""
 
     id: str
@@ -242,43 +228,37 @@
     timeout: float
 
 
-@dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(Struct, frozen=True):
     """Final answer: no, and trying again does no harm."""
 
     id: str
     retry_after: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Fail:
+class Fail(Struct, frozen=True):
     """Final answer: failed, with no promise about effects."""
 
     id: str
 
 
-@dataclass(frozen=True, slots=True)
-class Move:
+class Move(Struct, frozen=True):
     """End an open connection politely; its client comes again at once."""
 
     id: str
 
 
-@dataclass(frozen=True, slots=True)
-class SetTimer:
+class SetTimer(Struct, frozen=True):
     """Ask for a ``TimerFired`` after the delay."""
 
     delay: float
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class Subscribe:
+class Subscribe(Struct, frozen=True):
     """Ask discovery for all changes from now on."""
 
 
-@dataclass(frozen=True, slots=True)
-class Probe:
+class Probe(Struct, frozen=True):
     """Ask a backend for its load report; a ``Probed`` comes for each."""
 
     backend: int
--- a/stonegap/settings.py
+++ b/stonegap/settings.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import TypeVar
 
-import orjson
+import msgspec
 
 from stonegap.interface import Effect, Prices, RequestClass, Scope, Settings, Tenant
 
@@ -19,6 +19,23 @@
     """Input that breaks the form agreed on. Its text says what is wrong."""
 
 
+def from_json(data: str | bytes, what: str) -> object:
+    """The value of a JSON text; MalformedError if it is none, however it is broken."""
+    try:
+        return msgspec.json.decode(data)
+    except (ValueError, RecursionError) as error:  # the latter: a hundred thousand brackets
+        raise MalformedError(f"{what} not JSON ({error})") from None
+
+
+def _finite(value: object, path: str, what: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise MalformedError(f"{what}: {path} is not a number")
+    try:
+        return float(value)
+    except OverflowError:
+        raise MalformedError(f"{what}: {path} is not a number within range") from None
+
+
 class Tree:
     """A JSON object whose values are fetched with their type; errors name the key in full."""
 
@@ -40,9 +57,7 @@
 
     def number(self, key: str, default: float | None = None) -> float:
         path, value = self._get(key, default)
-        if isinstance(value, bool) or not isinstance(value, (int, float)):
-            raise MalformedError(f"{self._what}: {path} is not a number")
-        return float(value)
+        return _finite(value, path, self._what)
 
     def text(self, key: str, default: str | None = None) -> str:
         path, value = self._get(key, default)
@@ -81,16 +96,12 @@
         items = [0.0 if item is None else item for item in value]
         if any(isinstance(item, bool) or not isinstance(item, (int, float)) for item in items):
             raise MalformedError(f"{self._what}: {path} holds something that is not a number")
-        return [float(item) for item in items]
+        return [_finite(item, path, self._what) for item in items]
 
 
 def parse_settings(text: str) -> Settings:
     """The settings from the start message's JSON text."""
-    try:
-        value = orjson.loads(text)
-    except orjson.JSONDecodeError as error:
-        raise MalformedError(f"settings: not JSON ({error})") from None
-    return settings_from(Tree(value))
+    return settings_from(Tree(from_json(text, "settings:")))
 
 
 def settings_from(root: Tree) -> Settings:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
 import orjson
 import pytest
+from docopt import docopt
 
-from ironmill import __version__
+from ironmill import __version__, cli
 from ironmill.cli import main
 from ironmill.config import load
+from stonegap.settings import MalformedError
 from tests.test_wirehost import SETTINGS
 
 CONFIG: dict[str, Any] = {
@@ -76,3 +80,42 @@
     assert main(["check-config", "--config", written(tmp_path)]) == 0
     expected = f"ironmill {__version__}\nironmill: the configuration of n3 is fit for use\n"
     assert capsys.readouterr().out == expected
+
+
+def test_the_second_address_is_told_by_file_or_variable(tmp_path: Path) -> None:
+    assert load({"PROXY_CONFIG": written(tmp_path)}).control is None
+    told = written(tmp_path, ("control", "127.0.0.1:9000"))
+    assert load({"PROXY_CONFIG": told}).control == ("127.0.0.1", 9000)
+    assert load({"PROXY_CONFIG": told, "PROXY_CONTROL": "127.0.0.2:1"}).control == ("127.0.0.2", 1)
+
+
+@pytest.mark.parametrize("text", ["[" * 100_000, '{"name": 1e999}', '{"name": "\\ud800"}', "{", ""])
+def test_what_is_not_json_is_one_line(tmp_path: Path, text: str) -> None:
+    """Guards the watch as well: discovery's answers are read by the same function."""
+    file = tmp_path / "config.json"
+    file.write_text(text)
+    with pytest.raises(MalformedError, match="is not JSON"):
+        load({"PROXY_CONFIG": str(file)})
+
+
+def test_a_number_beyond_any_is_no_number(tmp_path: Path) -> None:
+    text = Path(written(tmp_path)).read_text().replace('"sockets":4096', '"sockets":' + "9" * 400)
+    (tmp_path / "config.json").write_text(text)
+    with pytest.raises(MalformedError, match="sockets is not a number within range"):
+        load({"PROXY_CONFIG": str(tmp_path / "config.json")})
+
+
+def test_the_start_imports_only_what_it_needs() -> None:
+    """Guards the start: ten proxies that are started at once share the cores, and clients wait for them."""
+    left_out = ["dataclasses", "orjson", "docopt", "h11", "pathlib", "json"]
+    code = "import sys, ironmill.cli; print([n for n in sys.argv[1:] if n in sys.modules])"
+    found = subprocess.run(
+        [sys.executable, "-S", "-c", f"import sys; sys.path[:] = {sys.path!r}; {code}", *left_out],
+        check=True, capture_output=True, text=True,
+    )
+    assert found.stdout.strip() == "[]"
+
+
+def test_the_platforms_command_means_what_the_usage_says() -> None:
+    words = docopt(cli.__doc__, argv=["serve"])
+    assert (words["--config"], words["--settings"], words["--poller"]) == (None, None, cli.DEFAULT_POLLER)
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -17,7 +17,8 @@
 from ironmill.net.control import CALLERS_MOST, Control
 from ironmill.net.drain import Drain
 from ironmill.net.sockets import Stream
-from ironmill.protocol.calls import BODY_MOST, HEAD_MOST, Answer, Call, CallSide
+from ironmill.protocol.call import Answer, Call
+from ironmill.protocol.calls import BODY_MOST, HEAD_MOST, CallSide
 from ironmill.staff import Staff
 from tests.test_net import OPEN, Town, read_line
 
