--- a/ironmill/__main__.py
+++ b/ironmill/__main__.py
@@ -1,8 +1,13 @@
 """``python -m ironmill`` is the command line."""
 
+import gc
 import sys
 
-from ironmill.cli import main
+# What modules make stays: to look through it again and again is a tenth of the start. ``Collector`` turns
+# the collector on.
+gc.disable()
+
+from ironmill.cli import main  # noqa: E402
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/ironmill/garbage.py
+++ b/ironmill/garbage.py
@@ -29,6 +29,7 @@
     def start(self) -> None:
         """What is there now stays for good and is never looked through."""
         gc.freeze()
+        gc.enable()  # ``__main__`` has turned it off
         gc.set_threshold(YOUNG, MIDDLE, NEVER)
         self._timers.call_later(LOOK, self._look)
 
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -62,7 +62,8 @@
         self._scheduler.sleep(ACCEPT_FOR)
         self._listener.give_way()  # once more: a successor may have begun to listen only now
         self._listener.close()
-        self._scheduler.sleep(MOVE_AFTER - ACCEPT_FOR)
+        # Guards what stands where all deadlines are short: the end comes before MOVE_AFTER there.
+        self._scheduler.sleep(max(0.0, min(MOVE_AFTER - ACCEPT_FOR, (end - time.monotonic()) / 2.0)))
         SendAway(self._scheduler, self._gateway).run(end - FLUSH)
         self._gateway.settle_all()  # guards what is still owed against the end by force
         self._scheduler.sleep(FLUSH)
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -14,6 +14,15 @@
 from tests.test_net import OPEN, Town, read_line
 
 
+def test_the_collector_is_on_once_the_proxy_serves(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It is off while modules are read, which makes the start shorter."""
+    called: list[str] = []
+    for name in ("freeze", "enable", "set_threshold"):
+        monkeypatch.setattr(gc, name, lambda *_, name=name: called.append(name))
+    Collector(TimerQueue(), lambda: 0).start()
+    assert called == ["freeze", "enable", "set_threshold"]
+
+
 def served(town: Town) -> None:
     client, leg = town.pair()
     client.send(b"hey\r\n")
--- /dev/null
+++ b/tests/test_operation.py
@@ -0,0 +1,242 @@
+"""Days of operation, played by processes: upgrades, kills, drains, figures; clients come, go and stay."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from ironmill.net.sockets import Stream, TimedOutError
+from ironmill.scheduler import Scheduler
+from ironmill_lab.fleet import Client, Fleet, NotServedError, play
+from ironmill_lab.processes import Neighbours, ProxyProcess, free_port
+from ironmill_lab.settings import platform_settings, proxy_config, write_config
+
+LIMIT = 120.0
+
+
+class Site:
+    """Emulated neighbours, one proxy address, and as many processes there as the story starts."""
+
+    def __init__(self, folder: Path, stack: ExitStack) -> None:
+        self.folder, self.stack = folder, stack
+        self.scheduler = Scheduler()
+        self.neighbours = stack.enter_context(Neighbours(folder, 3))
+        self.address = ("127.0.0.1", free_port())
+        self.started = 0
+        self.churned = 0
+        self.ending = False
+
+    def start(self) -> Running:
+        """One more process at the address, with a second address of its own."""
+        settings = platform_settings()
+        for category in settings["categories"]:
+            category["hardLimitS"] = 0.6  # the longest deadline says how long a planned end takes
+        self.started += 1
+        value = proxy_config(f"p{self.started}", self.address, self.neighbours.discovery, 4096, settings)
+        control = ("127.0.0.1", free_port())
+        value["control"] = f"{control[0]}:{control[1]}"
+        process = ProxyProcess(write_config(self.folder, value), self.folder)
+        return Running(self, self.stack.enter_context(process), control)
+
+    def churn(self) -> None:
+        """Open, say a line and go, over and over; whoever meets no answer at all ends the story."""
+        while not self.ending:
+            client = Client(self.scheduler, self.address)
+            try:
+                client.open(0.6)
+                assert client.ask(b"line") in (b"line", b"MOVE")
+                self.churned += 1
+            except NotServedError as error:
+                assert str(error).startswith("BUSY")
+            client.close()
+            self.scheduler.sleep(0.005)
+
+    def until(self, true: Callable[[], bool]) -> None:
+        while not true():
+            self.scheduler.sleep(0.02)
+
+
+class Running:
+    """One process and its second address."""
+
+    def __init__(self, site: Site, process: ProxyProcess, control: tuple[str, int]) -> None:
+        self.site, self.process, self.control = site, process, control
+
+    def ask(self, method: str, path: str) -> tuple[int, Any]:
+        """The status and the JSON of the answer; 0 where nobody answers."""
+        data = b""
+        try:
+            stream = Stream.connect(self.site.scheduler, self.control, 5.0)
+            stream.send(b"%s /admin/%s HTTP/1.1\r\nHost: x\r\n\r\n" % (method.encode(), path.encode()))
+            while piece := stream.receive(5.0):
+                data += piece
+            stream.close()
+        except (OSError, TimedOutError):
+            return 0, None
+        return int(data.split(b" ", 2)[1]), orjson.loads(data.partition(b"\r\n\r\n")[2])
+
+    def serves(self) -> bool:
+        assert self.process.popen.poll() is None, self.process.log.read_text()[-800:]
+        return self.ask("GET", "health")[0] == 200
+
+    def over(self) -> bool:
+        return self.process.popen.poll() is not None
+
+
+@contextmanager
+def site(folder: Path) -> Iterator[Site]:
+    with ExitStack() as stack:
+        yield Site(folder, stack)
+
+
+def watched(it: Site, story: Callable[[Fleet], None]) -> Fleet:
+    """The story beside a fleet that stays and clients that come and go; nothing of it may be lost."""
+    failed: list[BaseException] = []
+
+    def churn() -> None:
+        try:
+            it.churn()
+        except BaseException as error:
+            failed.append(error)
+
+    def told() -> Fleet:
+        fleet = Fleet(it.scheduler, [it.address], 30, pause=0.2)
+        for _ in range(2):
+            it.scheduler.spawn(churn)
+        it.until(lambda: len(fleet.standing) == 30)
+        story(fleet)
+        fleet.end()
+        it.ending = True
+        it.scheduler.sleep(0.5)
+        return fleet
+
+    fleet: Fleet = play(it.scheduler, told, LIMIT)
+    assert not failed, failed
+    counts = fleet.counts
+    assert (counts.lost, counts.unanswered, counts.failed, counts.refused) == (0, 0, 0, 0), counts
+    return fleet
+
+
+def test_twenty_upgrades_in_a_row_under_load(tmp_path: Path) -> None:
+    with site(tmp_path) as it:
+        running = it.start()
+        running.process.wait_ready()
+
+        def story(_: Fleet) -> None:
+            nonlocal running
+            for _ in range(20):
+                old, running = running, it.start()
+                it.until(running.serves)
+                old.process.popen.send_signal(signal.SIGTERM)
+                it.until(old.over)
+                assert old.process.popen.returncode == 0
+
+        fleet = watched(it, story)
+        assert fleet.counts.moved >= 20 * 30 * 0.9
+        assert it.churned > 100
+
+
+def test_a_new_process_that_is_killed_or_cannot_start_leaves_the_old_one_serving(tmp_path: Path) -> None:
+    with site(tmp_path) as it:
+        old = it.start()
+        old.process.wait_ready()
+
+        def story(fleet: Fleet) -> None:
+            for wait in (0.0, 0.02, 0.05, 0.08, 0.12):
+                new = it.start()
+                it.scheduler.sleep(wait)  # before it listens
+                if not new.ask("GET", "health")[0]:
+                    new.process.popen.kill()
+                    it.until(new.over)
+                else:
+                    new.process.popen.send_signal(signal.SIGTERM)
+                    it.until(new.over)
+            it.until(lambda: len(fleet.standing) == 30)
+            assert old.serves()
+
+        watched(it, story)
+
+
+def test_an_old_process_that_is_killed_loses_what_it_held_and_no_more(tmp_path: Path) -> None:
+    with site(tmp_path) as it:
+        old = it.start()
+        old.process.wait_ready()
+        new: Running | None = None
+
+        def story() -> None:
+            nonlocal new
+            fleet = Fleet(it.scheduler, [it.address], 30, pause=0.2)
+            it.until(lambda: len(fleet.standing) == 30)
+            new = it.start()
+            it.until(new.serves)
+            old.process.popen.kill()
+            it.until(old.over)
+            it.until(lambda: len(fleet.standing) == 30)
+            assert fleet.counts.lost <= 30
+            third = it.start()  # and the one that is left can be followed as any other
+            it.until(third.serves)
+            lost = fleet.counts.lost
+            new.process.popen.send_signal(signal.SIGTERM)
+            it.until(new.over)
+            it.until(lambda: len(fleet.standing) == 30)
+            assert (fleet.counts.lost, fleet.counts.unanswered) == (lost, 0)
+            fleet.end()
+
+        play(it.scheduler, story, LIMIT)
+
+
+def test_a_drain_its_end_and_an_end_after_a_drain(tmp_path: Path) -> None:
+    with site(tmp_path) as it:
+        one = it.start()
+        one.process.wait_ready()
+
+        def story(fleet: Fleet) -> None:
+            assert one.ask("POST", "quiesce")[0] == 200
+            one.process.popen.send_signal(signal.SIGHUP)  # changes nothing of it
+            it.until(lambda: not fleet.standing)
+            it.until(lambda: one.ask("GET", "stats")[1]["in_progress"] == 0)
+            assert one.ask("GET", "health") == (503, {"state": "drained"})
+            assert not fleet.standing
+            assert one.ask("POST", "resume")[0] == 200
+            it.until(lambda: len(fleet.standing) == 30)
+            # A new version takes over while the old one drains.
+            one.ask("POST", "quiesce")
+            two = it.start()
+            it.until(two.serves)
+            one.process.popen.send_signal(signal.SIGTERM)
+            it.until(one.over)
+            assert one.process.popen.returncode == 0
+            it.until(lambda: len(fleet.standing) == 30)
+            assert two.ask("GET", "stats")[1]["in_progress"] >= 30
+
+        watched(it, story)
+
+
+def test_the_figures_are_what_clients_and_issuer_hosts_counted(tmp_path: Path) -> None:
+    with site(tmp_path) as it:
+        one = it.start()
+        one.process.wait_ready()
+        stats: dict[str, Any] = {}
+
+        def story(fleet: Fleet) -> None:
+            it.scheduler.sleep(1.0)
+            it.ending = True
+            it.scheduler.sleep(0.3)  # until those that come and go have gone
+            stats.update(one.ask("GET", "stats")[1])
+            assert stats["in_progress"] == len(fleet.standing) == 30
+
+        fleet = watched(it, story)
+        told = it.neighbours.ask("told")["hosts"]
+        passed = stats["passed"]
+        assert sum(passed.values()) == fleet.counts.served + it.churned
+        assert stats["upstream_tries"] == sum(host["opened"] for host in told)
+        assert sum(stats["dropped"].values()) == fleet.counts.declined
+        assert (stats["known_servers"], stats["skipped_servers"]) == (3, 0)
+        taken = sum(stats["taken"].values())
+        ended = sum(sum(stats[name].values()) for name in ("passed", "dropped", "bad_gateway", "abandoned"))
+        assert taken == ended
