Take clients at once where discovery must be asked

The wait for the first answer guards against an agent that holds what counts as told; where discovery must be asked nothing counts before it was written, the first call of a crowd is spread over 1.4 s there, and nobody else took the clients: all that were followed came back to a restarted proxy, 2.5 to 3.0 s after the kill. Proxy._first_answer_wait: 0 where discovery must be asked, else 0.5 s as before. Beside a predecessor, which serves meanwhile, the first call is not spread and is waited for up to 3 s: its news counts as told 2 s after the yes.

--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -39,6 +39,9 @@
 # issuer hosts: what the agent holds counts as told from the process's start, 0.25 s before. Of 132 proxies
 # that started together four sent by the list they were started with. A silent agent has nothing to tell.
 FIRST_ANSWER_WAIT = 0.5
+# The same where another process serves at the address meanwhile: it has 6 s, and what discovery told counts
+# as told 2 s after it has said yes.
+SUCCESSOR_WAIT = 3.0
 
 log = logging.getLogger("ironmill")
 
@@ -62,8 +65,10 @@
         self.gateway.prober = ProbeDriver(
             self.scheduler, config.connect_timeout, self.gateway.probed, self._dial
         )
+        self.listener = Listener(self.scheduler, config.listen, self._take, at_once=False, shared=True)
         pace = partial(
-            CallPace, config.settings.relays, random.Random(config.seed), config.settings.ask_discovery
+            CallPace, config.settings.relays, random.Random(config.seed), config.settings.ask_discovery,
+            first_at_once=self.listener.succeeds,
         )
         known = config.known.revision if config.known.listed else None
         self.discovery = Discovery(
@@ -82,7 +87,6 @@
         self.reload = Reload(
             config, read_again, self.discovery.watch_at, read_operator, self._take_operator
         )
-        self.listener = Listener(self.scheduler, config.listen, self._take, at_once=False, shared=True)
         self.control: Control | None = None
         if config.control is not None:
             from ironmill.net.control import Control
@@ -111,7 +115,7 @@
             self.control.start()
             log.info("staff call at %s:%d", *self.control.address)
         self.discovery.start()
-        self.scheduler.call_later(FIRST_ANSWER_WAIT, self._open)
+        self.scheduler.call_later(self._first_answer_wait(), self._open)
         shutdown = Shutdown(self.scheduler, self.gateway, self, self._config)
         self._signals.on(signal.SIGHUP, self.reload.run)
         self._signals.on(signal.SIGTERM, shutdown.run)
@@ -126,6 +130,14 @@
         log.info("of %d descriptors %d are for clients", self._config.sockets, self.admission.most)
         self.scheduler.run()
 
+    def _first_answer_wait(self) -> float:
+        if self.listener.succeeds:
+            return SUCCESSOR_WAIT
+        # Where discovery must be asked nothing counts as told before it was written, and the first call of a
+        # crowd is spread over seconds. Guards clients of proxies that were killed together: ten of fourteen
+        # listened 0.5 s before they took anybody, and in the meantime nobody else did.
+        return 0.0 if self._config.settings.ask_discovery else FIRST_ANSWER_WAIT
+
     def _open(self) -> None:
         """Discovery has answered once, or does not: take what clients come."""
         self.listener.start()
--- a/ironmill/pace.py
+++ b/ironmill/pace.py
@@ -19,8 +19,14 @@
 class CallPace:
     """When one of so many proxies may call discovery. All times are in seconds."""
 
-    def __init__(self, proxies: int, rng: random.Random, asks: bool = True) -> None:
-        """``asks``: a call is work for discovery. Else the agent answers it with what it was sent."""
+    def __init__(
+        self, proxies: int, rng: random.Random, asks: bool = True, first_at_once: bool = False
+    ) -> None:
+        """``asks``: a call is work for discovery. Else the agent answers it with what it was sent.
+
+        ``first_at_once``: it starts by itself, not in a crowd, as a new version beside the old one does.
+        """
+        self._first_at_once = first_at_once or not asks
         self._asks = asks
         self._share = min(PAUSE_MOST, SPACING * (max(1, proxies) if asks else 1))
         self._rng = rng
@@ -37,7 +43,7 @@
         At once where the agent was sent all changes unasked, for they count as told: on a day when a lost
         zone came back, a proxy that started with an old list sent to a server that was long listed as gone.
         """
-        return self._rng.random() * self._share if self._asks else 0.0
+        return 0.0 if self._first_at_once else self._rng.random() * self._share
 
     def answered(self) -> None:
         """A call was answered."""
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -73,3 +73,8 @@
     pace = CallPace(40, random.Random(1), asks=False)
     assert pace.first() == 0.0
     assert all(pace.failed() < 0.2 for _ in range(20))
+
+
+def test_a_start_that_is_no_part_of_a_crowd_asks_at_once() -> None:
+    assert CallPace(200, random.Random(1), first_at_once=True).first() == 0.0
+    assert CallPace(200, random.Random(1)).first() > 0.0
