Ask the lifecycle whether a planned end is under way, and share two pieces of the tests

Shutdown kept a flag of its own beside the state that says the same (ENDING or CLOSING). The two stories of test_proxy ran their proxy by the same lines, and two tests called staff's address by the same lines; one piece serves each now.

--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -10,7 +10,7 @@
 
 from ironmill.config import Config
 from ironmill.gateway import Gateway
-from ironmill.lifecycle import Told
+from ironmill.lifecycle import LAST, Told
 from ironmill.net.send_away import SendAway
 from ironmill.scheduler import Scheduler
 
@@ -62,13 +62,11 @@
         self._gateway = gateway
         self._listener = listener
         self._config = config
-        self._ending = False
 
     def run(self) -> None:
         """End in an orderly way. A second signal changes nothing."""
-        if self._ending:
+        if self._gateway.lifecycle.state in LAST:
             return
-        self._ending = True
         self._gateway.lifecycle.tell(Told.END)
         self._drain()
         self._scheduler.stop()
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -10,11 +10,12 @@
 
 import orjson
 
-from ironmill.net.sockets import Stream, TimedOutError
+from ironmill.net.sockets import TimedOutError
 from ironmill.scheduler import Scheduler
 from ironmill_lab.fleet import Client, Fleet, NotServedError, play
 from ironmill_lab.processes import Neighbours, ProxyProcess, free_port
 from ironmill_lab.settings import platform_settings, proxy_config, write_config
+from tests.test_staff import call
 
 LIMIT = 120.0
 
@@ -69,16 +70,11 @@
 
     def ask(self, method: str, path: str) -> tuple[int, Any]:
         """The status and the JSON of the answer; 0 where nobody answers."""
-        data = b""
         try:
-            stream = Stream.connect(self.site.scheduler, self.control, 5.0)
-            stream.send(b"%s /admin/%s HTTP/1.1\r\nHost: x\r\n\r\n" % (method.encode(), path.encode()))
-            while piece := stream.receive(5.0):
-                data += piece
-            stream.close()
+            status, body = call(self.site.scheduler, self.control, method, f"/admin/{path}")
         except (OSError, TimedOutError):
             return 0, None
-        return int(data.split(b" ", 2)[1]), orjson.loads(data.partition(b"\r\n\r\n")[2])
+        return status, orjson.loads(body)
 
     def serves(self) -> bool:
         assert self.process.popen.poll() is None, self.process.log.read_text()[-800:]
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 from msgspec import structs
 
+from ironmill.config import Config
 from ironmill.net import proxy as proxy_module
 from ironmill.net.proxy import Proxy
 from ironmill.net.sockets import Stream, TimedOutError
@@ -30,6 +32,21 @@
         """Nothing begins."""
 
 
+def play(told: Config, story: Callable[[Proxy], None]) -> None:
+    """Serve until the story, a task of the proxy's scheduler, is over."""
+    proxy = Proxy(told, Quiet(), lambda: told)  # type: ignore[arg-type]
+
+    def told_story() -> None:
+        try:
+            story(proxy)
+        finally:
+            proxy.scheduler.stop()
+
+    proxy.scheduler.spawn(told_story)
+    proxy.serve()
+    proxy.close()
+
+
 @pytest.mark.parametrize("answered", [True, False])
 def test_clients_are_taken_once_discovery_has_answered_or_failed(
     monkeypatch: pytest.MonkeyPatch, answered: bool
@@ -41,31 +58,25 @@
     seen: list[bytes] = []
     with socket.create_server(("127.0.0.1", 0)) as agent:
         told = structs.replace(config(known), listen=("127.0.0.1", 0), discovery=agent.getsockname())
-        proxy = Proxy(told, Quiet(), lambda: told)  # type: ignore[arg-type]
 
-        def story() -> None:
+        def story(proxy: Proxy) -> None:
+            client = Stream.connect(proxy.scheduler, proxy.listener.address, 5.0)
+            client.send(b"PING\r\n")
+            assert proxy.scheduler.wait(agent.fileno(), READ, 5.0)
+            asked = Stream(proxy.scheduler, agent.accept()[0])
+            seen.append(asked.receive(5.0).split(b" HTTP")[0])
             try:
-                client = Stream.connect(proxy.scheduler, proxy.listener.address, 5.0)
-                client.send(b"PING\r\n")
-                assert proxy.scheduler.wait(agent.fileno(), READ, 5.0)
-                asked = Stream(proxy.scheduler, agent.accept()[0])
-                seen.append(asked.receive(5.0).split(b" HTTP")[0])
-                try:
-                    seen.append(client.receive(0.05))
-                except TimedOutError:
-                    seen.append(b"nothing")
-                if answered:
-                    body = b'{"rev":15,"all":false,"targets":[]}'
-                    asked.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
-                else:
-                    asked.close()
-                seen.append(client.receive(5.0))
-            finally:
-                proxy.scheduler.stop()
-
-        proxy.scheduler.spawn(story)
-        proxy.serve()
-        proxy.close()
+                seen.append(client.receive(0.05))
+            except TimedOutError:
+                seen.append(b"nothing")
+            if answered:
+                body = b'{"rev":15,"all":false,"targets":[]}'
+                asked.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+            else:
+                asked.close()
+            seen.append(client.receive(5.0))
+
+        play(told, story)
     assert seen == [b"GET /api/targets?after=15&wait_ms=0", b"nothing", b"PONG\r\n"]
 
 
@@ -83,17 +94,11 @@
         told = structs.replace(
             known, listen=("127.0.0.1", 0), discovery=agent.getsockname(), settings=settings
         )
-        proxy = Proxy(told, Quiet(), lambda: told)  # type: ignore[arg-type]
 
-        def story() -> None:
-            try:
-                client = Stream.connect(proxy.scheduler, proxy.listener.address, 5.0)
-                client.send(b"PING\r\n")
-                seen.append(client.receive(5.0))
-            finally:
-                proxy.scheduler.stop()
-
-        proxy.scheduler.spawn(story)
-        proxy.serve()
-        proxy.close()
+        def story(proxy: Proxy) -> None:
+            client = Stream.connect(proxy.scheduler, proxy.listener.address, 5.0)
+            client.send(b"PING\r\n")
+            seen.append(client.receive(5.0))
+
+        play(told, story)
     assert seen == [b"PONG\r\n"]
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -19,6 +19,7 @@
 from ironmill.net.sockets import Stream
 from ironmill.protocol.call import Answer, Call
 from ironmill.protocol.calls import BODY_MOST, HEAD_MOST, CallSide
+from ironmill.scheduler import Scheduler
 from ironmill.staff import Staff
 from tests.test_net import OPEN, Town, read_line
 
@@ -136,6 +137,17 @@
         assert figures.in_progress == 10 - len(over)
 
 
+def call(scheduler: Scheduler, address: tuple[str, int], method: str, path: str) -> tuple[int, bytes]:
+    """One call over a connection of its own: the status and the body of the answer."""
+    stream = Stream.connect(scheduler, address, 5.0)
+    stream.send(b"%s %s HTTP/1.1\r\nHost: x\r\n\r\n" % (method.encode(), path.encode()))
+    data = b""
+    while piece := stream.receive(5.0):
+        data += piece
+    stream.close()
+    return int(data.split(b" ", 2)[1]), data.partition(b"\r\n\r\n")[2]
+
+
 class Called:
     """A town whose staff's address answers."""
 
@@ -151,12 +163,7 @@
         return stream
 
     def ask(self, method: str, path: str) -> tuple[int, bytes]:
-        stream = self.connect(b"%s %s HTTP/1.1\r\nHost: x\r\n\r\n" % (method.encode(), path.encode()))
-        data = b""
-        while piece := stream.receive(5.0):
-            data += piece
-        stream.close()
-        return int(data.split(b" ", 2)[1]), data.partition(b"\r\n\r\n")[2]
+        return call(self.town.scheduler, self.control.address, method, path)
 
     def run(self, story: Callable[[], None]) -> None:
         self.town.run(lambda _: story())
