Leave what stands where it is while a proxy drains, where packets pass through

Change: Drain is told whether it keeps what stands (config.packets_pass) and then moves nothing. Refusing new clients and answering what is owed by 3 s are as before, and so is a drain where connections end at the proxy.

Two tests fail without it: one on streams, one with processes that drain, stay and then end.

--- a/ironmill/net/drain.py
+++ b/ironmill/net/drain.py
@@ -1,4 +1,8 @@
-"""The drain that staff ask for: the clients are sent away, the process stays."""
+"""The drain that staff ask for: the clients are sent away, the process stays.
+
+Where packets pass through, only new clients are: what stands needs no move, for its packets go on coming
+here, or to another proxy once this one has ended.
+"""
 
 from __future__ import annotations
 
@@ -24,9 +28,15 @@
 class Drain:
     """Carries out what the state asks for, as long as it asks for it."""
 
-    def __init__(self, scheduler: Scheduler, gateway: Gateway) -> None:
+    def __init__(self, scheduler: Scheduler, gateway: Gateway, keeps: bool) -> None:
+        """``keeps``: what stands is left where it is.
+
+        Guards clients against moves that nothing needs: of 100 that stood at two proxies drained one after
+        the other each was set up anew, and a drain that is taken back has use for none of it.
+        """
         self._scheduler = scheduler
         self._gateway = gateway
+        self._keeps = keeps
         self._task: Task | None = None
         gateway.lifecycle.watch(self._changed)
 
@@ -43,11 +53,13 @@
         log.info("draining: %d owed an answer, %d stand", self._gateway.pending(), self._standing())
         self._scheduler.sleep(FRONT)
         self._gateway.lifecycle.tell(Told.HEARD)
-        away = SendAway(self._scheduler, self._gateway)
-        away.run(began + MOVED_BY)
+        away = None if self._keeps else SendAway(self._scheduler, self._gateway)
+        if away is not None:
+            away.run(began + MOVED_BY)
         self._scheduler.sleep(max(0.0, began + SETTLED_BY - time.monotonic()))
         self._gateway.settle_all()
-        away.run(time.monotonic() + LOOK_FOR)
+        if away is not None:
+            away.run(time.monotonic() + LOOK_FOR)
         log.info("drained: %d stand", self._standing())
 
     def _standing(self) -> int:
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -110,7 +110,7 @@
 
     def serve(self) -> None:
         """Run until SIGTERM or SIGINT has been dealt with."""
-        Drain(self.scheduler, self.gateway)
+        Drain(self.scheduler, self.gateway, keeps=self._config.packets_pass)
         if self.control is not None:
             self.control.start()
             log.info("staff call at %s:%d", *self.control.address)
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -28,6 +28,7 @@
         self.scheduler = Scheduler()
         self.neighbours = stack.enter_context(Neighbours(folder, 3))
         self.address = ("127.0.0.1", free_port())
+        self.mode = "proxy"
         self.started = 0
         self.churned = 0
         self.ending = False
@@ -37,6 +38,7 @@
         settings = platform_settings()
         for category in settings["categories"]:
             category["hardLimitS"] = 0.6  # the longest deadline says how long a planned end takes
+        settings["familyInfo"]["mode"] = self.mode
         self.started += 1
         value = proxy_config(f"p{self.started}", self.address, self.neighbours.discovery, 4096, settings)
         control = ("127.0.0.1", free_port())
@@ -214,6 +216,25 @@
         watched(it, story)
 
 
+def test_a_drain_where_packets_pass_moves_nobody_until_the_process_ends(tmp_path: Path) -> None:
+    with site(tmp_path) as it:
+        it.mode = "pass"
+        one = it.start()
+        one.process.wait_ready()
+
+        def story(fleet: Fleet) -> None:
+            one.ask("POST", "quiesce")
+            it.until(lambda: "drained: 30 stand" in one.process.log.read_text())
+            assert (len(fleet.standing), fleet.counts.moved) == (30, 0)
+            two = it.start()
+            it.until(two.serves)
+            one.process.popen.send_signal(signal.SIGTERM)
+            it.until(one.over)
+            it.until(lambda: len(fleet.standing) == 30)
+
+        watched(it, story)
+
+
 def test_the_figures_are_what_clients_and_issuer_hosts_counted(tmp_path: Path) -> None:
     with site(tmp_path) as it:
         one = it.start()
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -151,11 +151,11 @@
 class Called:
     """A town whose staff's address answers."""
 
-    def __init__(self) -> None:
+    def __init__(self, keeps: bool = False) -> None:
         self.town = Town()
         self.control = Control(self.town.scheduler, ("127.0.0.1", 0), Staff(self.town.gateway))
         self.control.start()
-        Drain(self.town.scheduler, self.town.gateway)
+        Drain(self.town.scheduler, self.town.gateway, keeps)
 
     def connect(self, data: bytes) -> Stream:
         stream = Stream.connect(self.town.scheduler, self.control.address, 1.0)
@@ -244,6 +244,33 @@
     it.run(story)
 
 
+def test_where_packets_pass_a_drain_leaves_what_stands(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each move is a connection set up anew, and two proxies drained in turn moved every client once."""
+    for name, value in (("FRONT", 0.02), ("MOVED_BY", 0.1), ("SETTLED_BY", 0.2), ("LOOK_FOR", 0.1)):
+        monkeypatch.setattr(drain_module, name, value)
+    it = Called(keeps=True)
+    town = it.town
+
+    def story() -> None:
+        client, leg = town.pair()
+        stuck = town.client(OPEN.replace(b"1a", b"1c"))
+        stuck_leg = town.leg()
+        it.ask("POST", "/admin/quiesce")
+        assert read_line(stuck).startswith(b"BUSY ")  # what is owed is answered all the same
+        town.scheduler.sleep(0.15)  # past the last look
+        assert read_line(town.client(OPEN.replace(b"1a", b"1d"))) == b"BUSY 200\r\n"
+        client.send(b"hey\r\n")
+        assert read_line(leg) == b"hey\r\n"
+        leg.send(b"you\r\n")
+        assert read_line(client) == b"you\r\n"
+        assert "moved" not in town.gateway.counts
+        assert len(town.gateway.standing()) == 1
+        for stream in (client, leg, stuck, stuck_leg):
+            stream.close()
+
+    it.run(story)
+
+
 def test_a_drain_that_is_taken_back_half_way_keeps_the_rest(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(drain_module, "FRONT", 0.0)
     it = Called()
