Membership: who is alive, known in common, through loss, pauses and one-sided cuts

Needed: the operators want many processes that behave together when some fail, with detection that bears pauses, lost messages and one-sided cuts.

--- a/ironmill/cli.py
+++ b/ironmill/cli.py
@@ -10,6 +10,7 @@
   ironmill token issue SUBJECT --store=DIR --audience=NAME --issuer=NAME [--lifetime=SPAN] [--kid=KID]
   ironmill token inspect TOKEN
   ironmill caller explain TOKEN --settings=FILE [--config=FILE]
+  ironmill members CONTROL [--watch]
   ironmill version
   ironmill (-h | --help)
 
@@ -26,11 +27,13 @@
   --issuer=NAME     Who says so.
   --lifetime=SPAN   How long the token is good [default: 1h].
   --kid=KID         The key that signs, instead of the ring's signing one.
+  --watch           Show the members again each time they change.
   -h --help         Show this text.
 
 serve runs one proxy in the foreground, check-config says whether serve would accept the
 configuration. A configuration that is not fit for use ends either with status 2. A TOKEN
-that is - is read from standard input, which keeps it out of the list of processes.
+that is - is read from standard input, which keeps it out of the list of processes. CONTROL
+is the staff's address of a running process, as HOST:PORT.
 """
 
 from __future__ import annotations
@@ -72,6 +75,8 @@
         return _serve(words["--config"], words["--settings"], words["--poller"])
     if words["keys"] or words["token"]:
         return _keys_or_token(words)
+    if words["members"]:
+        return _members(words)
     read_all = read(os.environ, words["--config"], words["--settings"])
     if read_all is None:
         return 2
@@ -130,6 +135,23 @@
     return 0
 
 
+def _members(words: Mapping[str, Any]) -> int:
+    from ironmill.commands import members  # here, for a proxy needs none of it
+    from ironmill.config import address
+
+    try:
+        host, port = address(words["CONTROL"], "CONTROL")
+        lines = members.watch(host, port) if words["--watch"] else members.table(members.ask(host, port))
+        for line in lines:
+            print(line, flush=True)
+    except (members.MembersError, MalformedError) as error:
+        print(f"ironmill: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 0
+    return 0
+
+
 def _token(words: Mapping[str, Any]) -> bytes:
     text: str = words["TOKEN"]
     return (sys.stdin.readline() if text == "-" else text).strip().encode()
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -33,6 +33,7 @@
     from ironmill.callers import Callers
     from ironmill.identity.keyring import KeyRing
     from ironmill.net.control import Control
+    from ironmill.net.membership import Membership
     from ironmill.operator import Operator
 
 # Clients wait so long at the most for the first answer of discovery, seconds. Guards the rule on draining
@@ -88,12 +89,22 @@
         self.reload = Reload(
             config, read_again, self.discovery.watch_at, read_operator, self._take_operator
         )
+        self.membership: Membership | None = None
+        if operator is not None and operator.settings.membership is not None:
+            from ironmill.net.membership import Membership
+
+            self.membership = Membership(
+                self.scheduler, config.name, operator.settings.membership, operator.member_keys
+            )
         self.control: Control | None = None
         if config.control is not None:
             from ironmill.net.control import Control
             from ironmill.staff import Staff
 
-            self.control = Control(self.scheduler, config.control, Staff(self.gateway))
+            staff = Staff(self.gateway)
+            if self.membership is not None:
+                staff.routes["/admin/members"] = {"GET": self.membership.shown}
+            self.control = Control(self.scheduler, config.control, staff)
         self.tls_listener: Listener | None = None
         if operator is not None and operator.settings.tls is not None and operator.tls is not None:
             from ironmill.net.tls import TlsStream
@@ -115,6 +126,8 @@
         if self.control is not None:
             self.control.start()
             log.info("staff call at %s:%d", *self.control.address)
+        if self.membership is not None:
+            self.membership.start()
         self.discovery.start()
         self.scheduler.call_later(self._first_answer_wait(), self._open)
         shutdown = Shutdown(self.scheduler, self.gateway, self, self._config)
@@ -153,7 +166,9 @@
             self.tls_listener.give_way()
 
     def close(self) -> None:
-        """Take no more connections."""
+        """Take no more connections, and be no member any more."""
+        if self.membership is not None:
+            self.membership.leave()
         self.listener.close()
         if self.tls_listener is not None:
             self.tls_listener.close()
@@ -178,6 +193,14 @@
         if self.callers is not None:
             self.callers.replace(self.callers.gate.identity, ring)
 
+    def _take_membership(self, operator: Operator) -> None:
+        """Keys are replaced at once; where and with whom this proxy is a member takes a restart."""
+        settings, mine = operator.settings.membership, self.membership
+        if (settings is None) is not (mine is None) or (mine is not None and settings != mine.settings):
+            log.warning("reload: takes a restart: membership")
+        if mine is not None and operator.member_keys:
+            mine.codec.keys = operator.member_keys
+
     def _take_operator(self, operator: Operator) -> None:
         """Other settings: what they say of callers holds from now on, for whoever shows a credential next."""
         old = self._operator
@@ -193,6 +216,7 @@
         elif old.tls is not None and operator.tls is not None and old.tls.digest == operator.tls.digest:
             operator = replace(operator, tls=old.tls)  # the same files: sessions go on being resumed
         self._operator = operator
+        self._take_membership(operator)
         if old.settings.log != operator.settings.log:
             logs.set_up(self._config.name, operator.settings.log)
         identity = operator.settings.identity
--- a/ironmill/operator.py
+++ b/ironmill/operator.py
@@ -26,6 +26,7 @@
     ring: KeyRing | None = None  # there if the settings hold an identity
     tls: ServerTls | None = None  # there if the settings hold a listener for TLS
     upstream: ssl.SSLContext | None = None  # there if the settings ask for TLS to issuer hosts
+    member_keys: tuple[bytes, ...] = ()  # there if the settings hold a membership
 
 
 def read_operator(path: str, classes: Collection[str]) -> Operator:
@@ -42,16 +43,34 @@
         raise MalformedError(str(error)) from None
     identity: Identity | None = settings.identity
     ring = None if identity is None else read_ring(identity.keys)
+    member_keys = () if settings.membership is None else read_member_keys(settings.membership.keys)
     if settings.tls is None and settings.upstream is None:
-        return Operator(settings, ring)
+        return Operator(settings, ring, member_keys=member_keys)
     from ironmill.tls_context import server_tls, upstream_tls
 
     return Operator(
         settings, ring, None if settings.tls is None else server_tls(settings.tls),
-        None if settings.upstream is None else upstream_tls(settings.upstream),
+        None if settings.upstream is None else upstream_tls(settings.upstream), member_keys,
     )
 
 
+def read_member_keys(path: str) -> tuple[bytes, ...]:
+    """One or two keys, a line each in hexadecimal; MalformedError, one line, if they are not fit for use."""
+    from ironmill.membership.wire import KEY_LEAST, KEY_MOST
+
+    right = f"one or two lines of {2 * KEY_LEAST} to {2 * KEY_MOST} hexadecimal digits, the signing one first"
+    try:
+        lines = Path(path).read_text("ascii").split()
+        keys = tuple(bytes.fromhex(line) for line in lines)
+    except OSError as error:
+        raise MalformedError(f"{path}: the members' keys cannot be read: {error.strerror}") from None
+    except ValueError:
+        raise MalformedError(f"{path}: the members' keys are not {right}") from None
+    if not 1 <= len(keys) <= 2 or not all(KEY_LEAST <= len(key) <= KEY_MOST for key in keys):
+        raise MalformedError(f"{path}: the members' keys are not {right}")
+    return keys
+
+
 def read_ring(path: str) -> KeyRing:
     """The key ring in the file; MalformedError, one line, if it is not fit for use."""
     try:
--- a/ironmill/settings/load.py
+++ b/ironmill/settings/load.py
@@ -8,12 +8,20 @@
 import re
 from collections.abc import Collection
 from importlib import resources
+from ipaddress import IPv4Address
 from pathlib import Path
 
 from lxml import etree
 
 from ironmill.identity.rules import Caller, CallerRule, Identity, Rights, TokenMatch
-from ironmill.settings.model import LogSettings, OperatorSettings, SettingsError, TlsSettings, UpstreamTls
+from ironmill.settings.model import (
+    LogSettings,
+    MembershipSettings,
+    OperatorSettings,
+    SettingsError,
+    TlsSettings,
+    UpstreamTls,
+)
 from ironmill.units import duration, rate
 
 SIZE_MOST = 1 << 20
@@ -109,14 +117,15 @@
         self._classes = classes
 
     def build(self, root: etree._Element) -> OperatorSettings:
-        names = ("log", "identity", "tls", "issuer-hosts-tls")
-        log, identity, tls, upstream = (self._child(root, name) for name in names)
+        names = ("log", "identity", "tls", "issuer-hosts-tls", "membership")
+        log, identity, tls, upstream, membership = (self._child(root, name) for name in names)
         return OperatorSettings(
             path=self._path,
             log=None if log is None else LogSettings(_text(log, "form"), _text(log, "level")),
             identity=None if identity is None else self._identity(identity),
             tls=None if tls is None else self._tls(tls),
             upstream=None if upstream is None else self._upstream(upstream),
+            membership=None if membership is None else self._membership(membership),
         )
 
     def _tls(self, element: etree._Element) -> TlsSettings:
@@ -141,6 +150,39 @@
             self._beside(element, "certificate"), self._beside(element, "key"),
         )
 
+    def _membership(self, element: etree._Element) -> MembershipSettings:
+        from ironmill.membership.timing import Timing  # here, for what is off is not imported
+
+        times = ("ping-every", "pause-borne", "suspect-after", "gone-within", "alone-after", "forget-after")
+        timing = Timing(**{name.replace("-", "_"): duration(_text(element, name)) for name in times})
+        if wrong := timing.wrong():
+            raise self._error(element, wrong)
+        listen = self._address(element, "listen")
+        seeds = tuple(self._address(it, "address") for it in self._children(element, "seed"))
+        peers: dict[str, tuple[str, int]] = {}
+        for it in self._children(element, "peer"):
+            name = _text(it, "name")
+            if name in peers:
+                raise self._error(it, f"peer {name!r} is named twice")
+            peers[name] = self._address(it, "address")
+        for name in ("cluster", "zone", "region"):
+            if len(_text(element, name)) > 64:
+                raise self._error(element, f"{name} has 64 characters at most")
+        return MembershipSettings(
+            _text(element, "cluster"), listen, self._beside(element, "keys"), _text(element, "zone"),
+            _text(element, "region"), seeds, tuple(peers.items()), timing,
+        )
+
+    def _address(self, element: etree._Element, name: str) -> tuple[str, int]:
+        host, _, port = _text(element, name).rpartition(":")
+        if not 0 < int(port) <= 65535:
+            raise self._error(element, f"there is no port {port} for others to send to; it is 1 to 65535")
+        try:
+            return str(IPv4Address(host)), int(port)
+        except ValueError:  # names are not looked up
+            what = f"{host!r} is no address; it is four numbers, as in 10.0.0.4"
+            raise self._error(element, what) from None
+
     def _beside(self, element: etree._Element, name: str) -> str:
         """A path beside the settings file, unless it is a whole one; empty where it is not told."""
         return str(Path(self._path).parent / _text(element, name)) if name in element.attrib else ""
--- a/ironmill/settings/model.py
+++ b/ironmill/settings/model.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from ironmill.identity.rules import Identity
 
+if TYPE_CHECKING:  # what is off is not imported
+    from ironmill.membership.timing import Timing
+
 
 @dataclass(frozen=True, slots=True)
 class LogSettings:
@@ -38,6 +42,20 @@
     key: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """What this proxy and the others tell each other, and where. Paths are whole."""
+
+    cluster: str
+    listen: tuple[str, int]
+    keys: str
+    zone: str
+    region: str
+    seeds: tuple[tuple[str, int], ...]
+    peers: tuple[tuple[str, tuple[str, int]], ...]  # names, and addresses where those are not what cards say
+    timing: Timing
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
     """One settings file, whole."""
@@ -47,6 +65,7 @@
     identity: Identity | None = None
     tls: TlsSettings | None = None
     upstream: UpstreamTls | None = None
+    membership: MembershipSettings | None = None
 
 
 class SettingsError(Exception):
