--- a/ironmill_lab/demo.py
+++ b/ironmill_lab/demo.py
@@ -1,4 +1,7 @@
-"""The demonstration: one proxy among emulated neighbours, a drain and a restart, told as it goes."""
+"""The demonstration: one proxy among emulated neighbours, told as it goes.
+
+An issuer host drains, the proxy is started again, a new version takes over beside it, and staff drain it.
+"""
 
 from __future__ import annotations
 
@@ -15,13 +18,14 @@
 from ironmill_lab.fleet import Fleet, FleetCounts, play
 from ironmill_lab.processes import Neighbours, ProxyProcess, free_port
 from ironmill_lab.settings import platform_settings, proxy_config, write_config
+from ironmill_lab.staff import call
 
 HOSTS = 6
 SOCKETS = 4096
 # When what happens, in seconds from the start of the fleet.
-DRAIN_AT, RESTART_AT, END_AT = 3.0, 9.0, 17.0
+DRAIN_AT, RESTART_AT, UPGRADE_AT, QUIESCE_AT, RESUME_AT, END_AT = 3.0, 8.0, 14.0, 20.0, 23.5, 27.0
 DRAINED = "s-0"
-LIMIT = 60.0
+LIMIT = 90.0
 START_WAIT = 20.0
 
 
@@ -33,12 +37,12 @@
         with Neighbours(folder, HOSTS) as neighbours:
             address = ("127.0.0.1", free_port())
             value = proxy_config("demo", address, neighbours.discovery, SOCKETS, platform_settings())
-            config = write_config(folder, value)
+            config = _at_control(folder, value)
             print(f"discovery and {HOSTS} emulated issuer hosts are up")
             with ProxyProcess(config, folder, more=more) as proxy:
                 proxy.wait_ready()
                 scheduler = Scheduler()
-                demo = Demo(scheduler, neighbours, proxy, config, folder, clients, more)
+                demo = Demo(scheduler, neighbours, proxy, config, folder, clients, more, value)
                 try:
                     good: bool = play(scheduler, demo.story, LIMIT)
                     if stay:
@@ -55,12 +59,18 @@
     return 0 if good else 1
 
 
+def _at_control(folder: Path, value: dict[str, Any]) -> Path:
+    """The configuration's file, with a second address of its own for staff."""
+    value["control"] = f"127.0.0.1:{free_port()}"
+    return write_config(folder, value)
+
+
 class Demo:
     """The story and what it prints."""
 
     def __init__(
         self, scheduler: Scheduler, neighbours: Neighbours, proxy: ProxyProcess, config: Path, folder: Path,
-        clients: int, more: list[str],
+        clients: int, more: list[str], value: dict[str, Any],
     ) -> None:
         self._scheduler = scheduler
         self._neighbours = neighbours
@@ -68,6 +78,7 @@
         self._config, self._folder = config, folder
         self._size = clients
         self._more = more
+        self._value = value
         self._fleet = Fleet(scheduler, [proxy.address], 0)
         self._began = time.monotonic()
 
@@ -86,6 +97,12 @@
         self._say(f"issuer host {DRAINED} drains, {held} connections stand there")
         self._until(RESTART_AT)
         self._restart()
+        self._until(UPGRADE_AT)
+        self._upgrade()
+        self._until(QUIESCE_AT)
+        self._say(f"staff drain it: POST /admin/quiesce: {self._ask('POST', 'quiesce')}")
+        self._until(RESUME_AT)
+        self._say(f"and end that: POST /admin/resume: {self._ask('POST', 'resume')}")
         self._until(END_AT)
         self._fleet.end()
         self._scheduler.sleep(1.0)
@@ -104,6 +121,30 @@
             f"standing {len(self._fleet.standing):4}  {what}".rstrip(), flush=True,
         )
 
+    def _upgrade(self) -> None:
+        old = self._proxy
+        self._config = _at_control(self._folder, self._value)
+        self._proxy = ProxyProcess(self._config, self._folder, more=self._more)
+        self._say("a new version is started beside it, at the same address")
+        until = time.monotonic() + START_WAIT
+        while time.monotonic() < until and not self._serves():
+            self._scheduler.sleep(0.02)
+        self._say(f"it serves: GET /admin/health: {self._ask('GET', 'health')}; the old one is told to end")
+        old.popen.send_signal(signal.SIGTERM)
+        while old.popen.poll() is None:
+            self._scheduler.sleep(0.05)
+        self._say(f"the old one has ended with status {old.end()}")
+
+    def _serves(self) -> bool:
+        try:
+            return self._ask("GET", "health") == 200
+        except (OSError, TimedOutError):
+            return False  # it does not listen there yet
+
+    def _ask(self, method: str, path: str) -> int:
+        host, _, port = str(self._value["control"]).rpartition(":")
+        return call(self._scheduler, (host, int(port)), method, f"/admin/{path}")[0]
+
     def _restart(self) -> None:
         self._say("the proxy is told to end (SIGTERM); it sends its clients away first")
         self._proxy.popen.send_signal(signal.SIGTERM)
--- a/ironmill_lab/measures/membership.py
+++ b/ironmill_lab/measures/membership.py
@@ -7,20 +7,27 @@
 from __future__ import annotations
 
 import random
+import statistics
 import tempfile
+import threading
 import time
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 from ironmill.membership.member import Member
+from ironmill.membership.wire import Address
+from ironmill.scheduler import Scheduler
 from ironmill_lab.faults import checker
 from ironmill_lab.faults.schedule import Fault, both_ways
 from ironmill_lab.faults.swim import Swim
 from ironmill_lab.faults.town import Town
 from ironmill_lab.faults.world import Make, World
+from ironmill_lab.fleet import Client, Fleet, in_parallel, play
 
 PLOTS = Path("found")
+CLIENTS = 60
+LIMIT = 600.0
 SETTLED = 5.0  # seconds before anything goes wrong
 KINDS: dict[str, Make] = {"ours": Member, "swim": Swim}
 
@@ -54,6 +61,7 @@
     found["whole_s"], found["heal_s"] = (max(one[at] for one in healed) for at in (0, 1))
     found["bytes_per_s"], found["memory_bytes"] = _cost(60 if quick else 200)
     found |= _processes(12 if quick else 24)
+    found |= _beside(4, 600 if quick else 3000)
     _plots(sizes, detection, shares, loss, size, span)
     return {name: round(value, 3) if isinstance(value, float) else value for name, value in found.items()}
 
@@ -163,6 +171,7 @@
         names = town.names
         town.start()
         town.until(lambda: town.agree(names))
+        load = Load([town.clients[one] for one in names[:3]])  # which stay well
         began, cpu = time.monotonic(), [process.usage().cpu for process in town.processes.values()]
         time.sleep(5.0)
         spent = [process.usage().cpu - was for process, was in zip(town.processes.values(), cpu, strict=True)]
@@ -193,9 +202,72 @@
         at = time.monotonic()
         found["real_heal_s"] = town.until(lambda: town.agree(names))
         found["sequences"] = checker.sequences(town.seen(), names, at)
+        found["clients_lost"], found["clients_lines"] = load.stop()
     return found
 
 
+class Load:
+    """Clients that stay, in a thread of their own, at proxies that no fault hits."""
+
+    def __init__(self, addresses: list[Address]) -> None:
+        self._ending = False
+        self._counts = (0, 0)
+        self._thread = threading.Thread(target=self._run, args=(addresses,), daemon=True)
+        self._thread.start()
+
+    def _run(self, addresses: list[Address]) -> None:
+        scheduler = Scheduler()
+
+        def story() -> None:
+            fleet = Fleet(scheduler, addresses, CLIENTS)
+            while not self._ending:
+                scheduler.sleep(0.1)
+            counts = fleet.counts
+            lost = counts.lost + counts.unanswered + counts.failed + counts.refused
+            self._counts = lost, counts.lines
+            fleet.end()
+
+        play(scheduler, story, LIMIT)
+
+    def stop(self) -> tuple[int, int]:
+        """What was lost, of connections and requests; the lines that came back."""
+        self._ending = True
+        self._thread.join()
+        return self._counts
+
+
+def _beside(count: int, setups: int) -> dict[str, Any]:
+    """Milliseconds from the connect to UP at the 99th percentile, with membership and without, in turns."""
+    took: dict[bool, list[float]] = {True: [], False: []}
+    for on in (True, False, True, False):
+        with tempfile.TemporaryDirectory() as name, Town(Path(name), count, membership=on) as town:
+            town.start()
+            for process in town.processes.values():
+                process.wait_ready()
+            if on:
+                town.until(lambda: town.agree(town.names))
+            took[on] += _setups(list(town.clients.values()), setups // 2)
+    cuts = {on: statistics.quantiles(took[on], n=100)[98] for on in took}
+    return {
+        "setup_p99_ms": cuts[True], "setup_p99_ms_off": cuts[False],
+        "setup_p99_over": cuts[True] / cuts[False],
+    }
+
+
+def _setups(addresses: list[Address], count: int) -> list[float]:
+    scheduler, took = Scheduler(), list[float]()
+
+    def one(at: int) -> None:
+        client = Client(scheduler, addresses[at % len(addresses)])
+        start = time.monotonic()
+        client.open()
+        took.append((time.monotonic() - start) * 1000.0)
+        client.close()
+
+    play(scheduler, lambda: in_parallel(scheduler, 4, range(count), one), LIMIT)
+    return took
+
+
 def _plots(
     sizes: Sequence[int], detection: dict[str, list[tuple[float, float]]], shares: Sequence[float],
     loss: dict[str, list[int]], size: int, span: float,
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -15,7 +15,7 @@
 from ironmill_lab.fleet import Client, Fleet, NotServedError, play
 from ironmill_lab.processes import Neighbours, ProxyProcess, free_port
 from ironmill_lab.settings import platform_settings, proxy_config, write_config
-from tests.test_staff import call
+from ironmill_lab.staff import call
 
 LIMIT = 120.0
 
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -19,8 +19,8 @@
 from ironmill.net.sockets import Stream
 from ironmill.protocol.call import Answer, Call
 from ironmill.protocol.calls import BODY_MOST, HEAD_MOST, CallSide
-from ironmill.scheduler import Scheduler
 from ironmill.staff import Staff
+from ironmill_lab.staff import call
 from tests.test_net import OPEN, Town, read_line
 
 GET = b"GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -137,17 +137,6 @@
         assert figures.in_progress == 10 - len(over)
 
 
-def call(scheduler: Scheduler, address: tuple[str, int], method: str, path: str) -> tuple[int, bytes]:
-    """One call over a connection of its own: the status and the body of the answer."""
-    stream = Stream.connect(scheduler, address, 5.0)
-    stream.send(b"%s %s HTTP/1.1\r\nHost: x\r\n\r\n" % (method.encode(), path.encode()))
-    data = b""
-    while piece := stream.receive(5.0):
-        data += piece
-    stream.close()
-    return int(data.split(b" ", 2)[1]), data.partition(b"\r\n\r\n")[2]
-
-
 class Called:
     """A town whose staff's address answers."""
 
