--- a/ironmill/membership/view.py
+++ b/ironmill/membership/view.py
@@ -78,6 +78,7 @@
         """Know no more of one that is out of the view."""
         del self.facts[name]
         self._forget_opinions(name)
+        self._changed()  # nobody observes it any more
 
     def page(self, after: str, room: int) -> tuple[list[Fact], bool]:
         """Facts of the names after this one, as many as so many bytes hold; whether these are the last."""
--- a/ironmill/net/membership.py
+++ b/ironmill/net/membership.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import random
 import socket
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
 import msgspec
@@ -126,14 +127,21 @@
                     break
                 except OSError:
                     continue  # a port that was unreachable is told here; whoever is silent is found out
-                self._send(self.member.receive(data, source, time.monotonic()))
+                self._guarded(self.member.receive, data, source, time.monotonic())
             self._scheduler.sleep(0.0)
 
     def _tick(self) -> None:
         while True:
-            self._send(self.member.tick(time.monotonic()))
+            self._guarded(self.member.tick, time.monotonic())
             self._scheduler.sleep(TICK)
 
+    def _guarded(self, step: Callable[..., list[Datagram]], *args: object) -> None:
+        """Guards membership against one datagram, or one tick, that it cannot deal with."""
+        try:
+            self._send(step(*args))
+        except Exception:
+            logging.getLogger("ironmill.membership").exception("a step of membership failed")
+
     def _send(self, datagrams: list[Datagram]) -> None:
         for address, data in datagrams:
             with contextlib.suppress(OSError):  # no route, no buffer: it is lost like any other
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,9 +14,9 @@
 from ironmill.membership.rings import RINGS, Rings
 from ironmill.membership.timing import Timing
 from ironmill.membership.view import View
-from ironmill.membership.wire import ACCUSES, VOUCHES, Card, Fact, Opinion
+from ironmill.membership.wire import ACCUSES, VOUCHES, Card, Codec, Fact, Opinion, Ping
 from ironmill_lab.faults.schedule import Fault, both_ways
-from ironmill_lab.faults.world import World
+from ironmill_lab.faults.world import KEY, World
 
 COUNT = 14
 NAMES = tuple(f"p{at:05d}" for at in range(COUNT))
@@ -176,6 +176,34 @@
     assert not [event for event in it.events if event.fields.get("why") == "first"]
 
 
+def test_one_that_is_out_for_long_is_forgotten_and_may_come_again() -> None:
+    it = World(COUNT, seed=2, timing=Timing(forget_after=50.0))
+    it.settle()
+    it.run(5.0)
+    it.kill(NAMES[6])
+    it.run(65.0)
+    assert {event.name for event in it.events if event.what == "forgotten"} == set(without(NAMES[6]))
+    assert it.agree(without(NAMES[6]))
+    it.start(NAMES[6])
+    within(it, 5.0, NAMES)
+
+
+def test_nobody_gets_news_who_has_not_proven_to_hear() -> None:
+    """Guards others against an old datagram with a false source: its answer is no larger than it."""
+    it = world()
+    one, codec = member(it, NAMES[0]), Codec("sim", [KEY])
+    it.kill(NAMES[5])
+    it.run(8.0)
+    assert one._spread  # there is news
+    stranger = Card("stranger", "10.9.9.9", 1, "z", "r", 5)
+    ping = codec.write(stranger, "", 1, Ping(1, 0, 0, []))
+    for _ in range(3):
+        ((address, data),) = one.receive(ping, ("10.9.9.9", 1), it.now)
+        assert address == ("10.9.9.9", 1)
+        assert len(data) < 2 * len(ping)
+        assert "stranger" not in one._peers
+
+
 def test_who_leaves_is_told_and_not_found_out() -> None:
     it = world()
     it.leave(NAMES[4])
