Give news to known members that ask without a token, as the spread of it needs

Members that ask others by chance have no token of theirs, so half of the spread was gone and some views waited for their own evidence. Line at fault: Member._ack's condition; it now also holds for a known member at its known address. An old datagram with a false source still gets no news (a test for each). The measure's clients begin after the share of a core at rest is taken.

--- a/ironmill/membership/member.py
+++ b/ironmill/membership/member.py
@@ -281,7 +281,8 @@
             both = not stale and self._echoes(envelope, message.echo)
             if both:
                 self._proven(envelope, source, message.rumours)
-            self._ack(envelope, source, both)
+            at_home = known is not None and source == self._address(name)
+            self._ack(envelope, source, both or at_home)
             if both:
                 self._compare(name, message.digest)
             elif message.digest and not self.joined and not stale:
@@ -355,7 +356,7 @@
                 ack = Ack(number, 0, self.view.digest, [], of=name)
                 self._send(asker, self._address(asker), ack)
 
-    def _ack(self, envelope: Envelope, source: Address, both: bool) -> None:
+    def _ack(self, envelope: Envelope, source: Address, news: bool) -> None:
         message = envelope.message
         assert isinstance(message, Ping)
         token = self._token(envelope.sender, envelope.incarnation)
@@ -364,8 +365,8 @@
         # Who is out of the view, or an older process, has to hear so from whomever it asks.
         if fact is not None and (not fact.present or fact.card.incarnation > envelope.incarnation):
             first.append(Raw(pack(fact)))
-        # Not to where nobody has proven to be: an old datagram with a false source would be answered tenfold.
-        rumours = [*first, *(self._rumours(sum(len(bytes(raw)) for raw in first)) if both else [])]
+        # Not to where nobody is known to be: an old datagram with a false source would be answered tenfold.
+        rumours = [*first, *(self._rumours(sum(len(bytes(raw)) for raw in first)) if news else [])]
         self._send(envelope.sender, source, Ack(message.number, token, self.view.digest, rumours))
 
     def _answer_back(self, name: str, source: Address) -> None:
--- a/ironmill_lab/measures/membership.py
+++ b/ironmill_lab/measures/membership.py
@@ -171,11 +171,11 @@
         names = town.names
         town.start()
         town.until(lambda: town.agree(names))
-        load = Load([town.clients[one] for one in names[:3]])  # which stay well
         began, cpu = time.monotonic(), [process.usage().cpu for process in town.processes.values()]
         time.sleep(5.0)
         spent = [process.usage().cpu - was for process, was in zip(town.processes.values(), cpu, strict=True)]
         found["cpu_percent"] = 100.0 * max(spent) / (time.monotonic() - began)
+        load = Load([town.clients[one] for one in names[:3]])  # which stay well
         dead = names[-count // 4 :]
         rest = [one for one in names if one not in dead]
         at = town.kill(*dead)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -202,6 +202,12 @@
         assert address == ("10.9.9.9", 1)
         assert len(data) < 2 * len(ping)
         assert "stranger" not in one._peers
+    # Who asks by chance has no token yet, and the news must reach it all the same where it is known to be.
+    known = it.nodes[NAMES[7]]
+    old = member(it, NAMES[7])
+    ping = codec.write(old.card, "", 10_000, Ping(1, 0, 0, []))
+    ((_, data),) = one.receive(ping, known.address, it.now)
+    assert len(data) > 2 * len(ping)
 
 
 def test_who_leaves_is_told_and_not_found_out() -> None:
