Wait in the test of a killed old process until all clients have found out

The others still counted as standing, so its wait for 30 standing was over at once, and they were lost later. The program is not at fault: all 30 stood at the killed process and each is lost once. The test waits until all 30 have found out; its assertions are as they were.

--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -175,6 +175,8 @@
             it.until(new.serves)
             old.process.popen.kill()
             it.until(old.over)
+            # All stood there, and each finds out at its next line; until then it is counted as standing.
+            it.until(lambda: fleet.counts.lost >= 30)
             it.until(lambda: len(fleet.standing) == 30)
             assert fleet.counts.lost <= 30
             third = it.start()  # and the one that is left can be followed as any other
