Tidy membership: one way to an address, to the room for rumours and to the bounds of keys

Read once more, behaviour as it was. Member._rumours takes what goes first and works out the room that it leaves, which two callers did; _address also takes a fact that is only told, so _ping_at is gone; _told_of asks once who speaks for a change. check_keys serves the codec and the reading of the file; spelled() serves driver and harness; Town.ask calls what 'ironmill members' calls, which now closes its connection. Membership.close had one caller, leave, and is part of it. Dead and gone: checker.back_after, Town.busy, and the fault kind 'busy', which nothing carried out.

--- a/ironmill/commands/members.py
+++ b/ironmill/commands/members.py
@@ -19,13 +19,15 @@
 
 def ask(host: str, port: int) -> dict[str, Any]:
     """What the process tells."""
+    call = http.client.HTTPConnection(host, port, timeout=CALL_WAIT)
     try:
-        call = http.client.HTTPConnection(host, port, timeout=CALL_WAIT)
         call.request("GET", "/admin/members")
         answer = call.getresponse()
         body = answer.read()
     except (OSError, http.client.HTTPException) as error:
         raise MembersError(f"{host}:{port} does not answer: {error}") from None
+    finally:
+        call.close()
     if answer.status == 404:
         raise MembersError(f"the process at {host}:{port} has no membership in its settings")
     if answer.status != 200:
--- a/ironmill/membership/member.py
+++ b/ironmill/membership/member.py
@@ -360,13 +360,13 @@
         message = envelope.message
         assert isinstance(message, Ping)
         token = self._token(envelope.sender, envelope.incarnation)
-        first = []
+        first: list[Raw] = []
         fact = self.view.facts.get(envelope.sender)
         # Who is out of the view, or an older process, has to hear so from whomever it asks.
         if fact is not None and (not fact.present or fact.card.incarnation > envelope.incarnation):
             first.append(Raw(pack(fact)))
         # Not to where nobody is known to be: an old datagram with a false source would be answered tenfold.
-        rumours = [*first, *(self._rumours(sum(len(bytes(raw)) for raw in first)) if news else [])]
+        rumours = self._rumours(first) if news else first
         self._send(envelope.sender, source, Ack(message.number, token, self.view.digest, rumours))
 
     def _answer_back(self, name: str, source: Address) -> None:
@@ -426,10 +426,11 @@
         moves = fact.present is not (old is not None and old.present)
         newer = old is not None and fact.card.incarnation > old.card.incarnation
         mine = self.view.opinion(self.card.name, name)
-        agrees = bool(self.view.speaks_for_change(name)) or (mine == ACCUSES and not fact.present)
+        speak = self.view.speaks_for_change(name)
+        agrees = bool(speak) or (mine == ACCUSES and not fact.present)
         if not moves or fact.left or newer or agrees or not self.joined:
             self._disputes.pop(name, None)
-            self._set(fact, "told", self.view.speaks_for_change(name))
+            self._set(fact, "told", speak)
             return
         # Guards against the other side of a cut that has just healed: each side takes the other for gone.
         dispute = self._disputes.get(name)
@@ -493,7 +494,7 @@
             elif dispute.asked_at == math.inf and asked < DISPUTES_A_TICK:
                 asked += 1
                 dispute.asked_at = self._now
-                self._ping_at(name, dispute.fact)
+                self._ping(name, told=dispute.fact)
 
     def _set(self, fact: Fact, why: str, speak: Sequence[str] = ()) -> None:
         name = fact.card.name
@@ -636,21 +637,19 @@
 
     # Datagrams out
 
-    def _ping(self, name: str, behalf: tuple[str, int] | None = None) -> None:
-        self._send(name, self._address(name), self._new_ping(name, behalf, self._peer(name).token))
-
-    def _ping_at(self, name: str, fact: Fact) -> None:
-        """Ping one that may not be known yet."""
-        address = self._where.get(name) or fact.card.address
-        self._send(name, address, self._new_ping(name, None, self._peer(name).token))
+    def _ping(
+        self, name: str, behalf: tuple[str, int] | None = None, told: Fact | None = None
+    ) -> None:
+        """``told``: what is told of one that may not be known yet, or stands elsewhere now."""
+        address = self._address(name, told)
+        self._send(name, address, self._new_ping(name, behalf, self._peer(name).token))
 
     def _new_ping(self, name: str, behalf: tuple[str, int] | None, token: int) -> Ping:
         number = self._ask(name, behalf)
         own = [] if self.joined else [Raw(pack(self.fact))]
-        rumours = own
-        if name and self._now - self._peer(name).near <= SEEK_AFTER:  # they would be lost on one that is dead
-            rumours = [*own, *self._rumours(sum(len(bytes(raw)) for raw in own))]
-        return Ping(number, token, self.view.digest, rumours)
+        # They would be lost on one that is dead.
+        news = name and self._now - self._peer(name).near <= SEEK_AFTER
+        return Ping(number, token, self.view.digest, self._rumours(own) if news else own)
 
     def _ask(self, name: str, behalf: tuple[str, int] | None) -> int:
         if len(self._asked) >= ASKED_MOST:
@@ -673,10 +672,10 @@
         out, self._out = self._out, []
         return out
 
-    def _address(self, name: str) -> Address:
+    def _address(self, name: str, told: Fact | None = None) -> Address:
         where = self._where.get(name)
         if where is None:
-            fact, peer = self.view.facts.get(name), self._peers.get(name)
+            fact, peer = told or self.view.facts.get(name), self._peers.get(name)
             where = fact.card.address if fact is not None else peer.source if peer is not None else None
         assert where is not None, name
         return where
@@ -696,11 +695,11 @@
             del self._spread[next(iter(self._spread))]
         self._spread[key] = Spread(rumour, pack(rumour))
 
-    def _rumours(self, taken: int) -> list[Raw]:
-        """What has waited longest, as much as fits beside what is taken already."""
+    def _rumours(self, first: list[Raw]) -> list[Raw]:
+        """These, and what has waited longest, as much as fits beside them."""
         enough = math.ceil(RUMOUR_TIMES * math.log2(len(self.view.facts) + 2))
-        chosen: list[Raw] = []
-        room = RUMOUR_BYTES - taken
+        chosen = list(first)
+        room = RUMOUR_BYTES - sum(len(bytes(raw)) for raw in first)
         for _ in range(len(self._spread)):  # each at the most once
             key = next(iter(self._spread))
             one = self._spread[key]
--- a/ironmill/membership/wire.py
+++ b/ironmill/membership/wire.py
@@ -21,6 +21,18 @@
 Address = tuple[str, int]
 
 
+def spelled(address: Address) -> str:
+    """HOST:PORT."""
+    return f"{address[0]}:{address[1]}"
+
+
+def check_keys(keys: Sequence[bytes]) -> tuple[bytes, ...]:
+    """The keys; ValueError if there are none, too many, or any of the wrong length."""
+    if not 1 <= len(keys) <= 2 or not all(KEY_LEAST <= len(key) <= KEY_MOST for key in keys):
+        raise ValueError(f"one or two keys of {KEY_LEAST} to {KEY_MOST} bytes")
+    return tuple(keys)
+
+
 class DroppedError(Exception):
     """A datagram that is not taken; its text is one of a few words, to be counted by."""
 
@@ -205,9 +217,7 @@
 
     @keys.setter
     def keys(self, keys: Sequence[bytes]) -> None:
-        if not 1 <= len(keys) <= 2 or not all(KEY_LEAST <= len(key) <= KEY_MOST for key in keys):
-            raise ValueError(f"one or two keys of {KEY_LEAST} to {KEY_MOST} bytes")
-        self._keys = tuple(keys)
+        self._keys = check_keys(keys)
 
     def write(self, sender: Card, to: str, count: int, message: Message) -> bytes:
         """The datagram. ValueError if it is too large, which is the caller's fault."""
--- a/ironmill/net/membership.py
+++ b/ironmill/net/membership.py
@@ -18,7 +18,7 @@
 from ironmill.logs import EventLog
 from ironmill.membership.member import Datagram, Member
 from ironmill.membership.timing import TICK
-from ironmill.membership.wire import DATAGRAM_MOST, Address, Card, Codec
+from ironmill.membership.wire import DATAGRAM_MOST, Address, Card, Codec, spelled
 from ironmill.protocol.call import Answer
 from ironmill.scheduler import READ, Scheduler, Task
 from ironmill.settings.model import MembershipSettings
@@ -30,10 +30,6 @@
 log = EventLog("ironmill.membership")
 
 
-def _text(address: Address) -> str:
-    return f"{address[0]}:{address[1]}"
-
-
 class Membership:
     """This process among the others."""
 
@@ -69,29 +65,26 @@
 
     def start(self) -> None:
         """Take part from now on."""
-        log.info("membership", address=_text(self.address), cluster=self.settings.cluster)
+        log.info("membership", address=spelled(self.address), cluster=self.settings.cluster)
         self._reader = self._scheduler.spawn(self._read)
         self._ticker = self._scheduler.spawn(self._tick)
 
     def leave(self) -> None:
         """Tell the others that it goes. What still comes is read no more."""
+        if self._sock.fileno() < 0:
+            return  # a second time changes nothing
         self._send(self.member.leave(time.monotonic()))
-        self.close()
-
-    def close(self) -> None:
-        """Take part no more."""
-        if self._sock.fileno() >= 0:
-            self._scheduler.kill(self._reader)
-            self._scheduler.kill(self._ticker)
-            self._scheduler.forget(self._sock.fileno())
-            self._sock.close()
+        self._scheduler.kill(self._reader)
+        self._scheduler.kill(self._ticker)
+        self._scheduler.forget(self._sock.fileno())
+        self._sock.close()
 
     def shown(self) -> Answer:
         """The view, as staff ask for it."""
         member = self.member
         members = [
             {
-                "name": fact.card.name, "address": _text(fact.card.address), "zone": fact.card.zone,
+                "name": fact.card.name, "address": spelled(fact.card.address), "zone": fact.card.zone,
                 "region": fact.card.region, "incarnation": fact.card.incarnation,
                 "state": self._state(fact.card.name),
             }
--- a/ironmill/operator.py
+++ b/ironmill/operator.py
@@ -56,19 +56,15 @@
 
 def read_member_keys(path: str) -> tuple[bytes, ...]:
     """One or two keys, a line each in hexadecimal; MalformedError, one line, if they are not fit for use."""
-    from ironmill.membership.wire import KEY_LEAST, KEY_MOST
+    from ironmill.membership.wire import KEY_LEAST, KEY_MOST, check_keys
 
     right = f"one or two lines of {2 * KEY_LEAST} to {2 * KEY_MOST} hexadecimal digits, the signing one first"
     try:
-        lines = Path(path).read_text("ascii").split()
-        keys = tuple(bytes.fromhex(line) for line in lines)
+        return check_keys([bytes.fromhex(line) for line in Path(path).read_text("ascii").split()])
     except OSError as error:
         raise MalformedError(f"{path}: the members' keys cannot be read: {error.strerror}") from None
     except ValueError:
         raise MalformedError(f"{path}: the members' keys are not {right}") from None
-    if not 1 <= len(keys) <= 2 or not all(KEY_LEAST <= len(key) <= KEY_MOST for key in keys):
-        raise MalformedError(f"{path}: the members' keys are not {right}")
-    return keys
 
 
 def read_ring(path: str) -> KeyRing:
--- a/ironmill_lab/faults/checker.py
+++ b/ironmill_lab/faults/checker.py
@@ -53,15 +53,6 @@
     return [first.get(name, float("inf")) for name in names]
 
 
-def back_after(seen: Iterable[Seen], names: Sequence[str], one: str, since: float) -> list[float]:
-    """The same for when it had it in its view again."""
-    first: dict[str, float] = {}
-    for event in seen:
-        if event.what == "in" and event.at >= since and event.fields["member"] == one and event.name in names:
-            first.setdefault(event.name, event.at - since)
-    return [first.get(name, float("inf")) for name in names]
-
-
 def flaps(seen: Iterable[Seen], since: float, until: float) -> int:
     """How often a member was put out of one view more than once within the span."""
     counts: dict[tuple[str, str], int] = {}
--- a/ironmill_lab/faults/schedule.py
+++ b/ironmill_lab/faults/schedule.py
@@ -21,7 +21,7 @@
 class Fault(Struct, frozen=True, forbid_unknown_fields=True):
     """One thing that goes wrong from ``start`` until before ``end``, in seconds of the story."""
 
-    kind: Literal["loss", "delay", "duplicate", "corrupt", "cut", "pause", "kill", "start", "busy"]
+    kind: Literal["loss", "delay", "duplicate", "corrupt", "cut", "pause", "kill", "start"]
     start: float
     end: float = math.inf
     sources: tuple[str, ...] = ()  # links: from these, or from all
--- a/ironmill_lab/faults/town.py
+++ b/ironmill_lab/faults/town.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import os
 import signal
 import time
@@ -12,13 +11,12 @@
 from types import TracebackType
 from typing import Any, Self
 
-import orjson
-
-from ironmill.membership.wire import Address
+from ironmill.commands import members
+from ironmill.membership.wire import Address, spelled
 from ironmill_lab.faults.checker import Seen, read_logs
 from ironmill_lab.faults.schedule import Fault, Links
 from ironmill_lab.faults.switch import Switch
-from ironmill_lab.processes import Neighbours, Process, ProxyProcess, free_port
+from ironmill_lab.processes import Neighbours, ProxyProcess, free_port
 from ironmill_lab.settings import platform_settings, proxy_config, write_config
 
 SEEDS = 2
@@ -26,10 +24,6 @@
 KEY = "0f" * 32
 
 
-def _text(address: Address) -> str:
-    return f"{address[0]}:{address[1]}"
-
-
 class Town:
     """The processes, by name. Their logs are the story."""
 
@@ -68,7 +62,7 @@
     def _write(self, name: str) -> None:
         settings = platform_settings(len(self.names))
         value = proxy_config(name, self.clients[name], self.neighbours.discovery, 1024, settings)
-        value["control"] = _text(self.controls[name])
+        value["control"] = spelled(self.controls[name])
         write_config(self.folder, value)
         seeds = [
             self._homes[seed] if seed == name else self.switch.door(name, seed) for seed in self.names[:SEEDS]
@@ -77,10 +71,10 @@
         lines = ['<ironmill xmlns="urn:ironmill:settings:1">', '<log form="json"/>']
         if self._membership:
             lines += [
-                f'<membership cluster="town" listen="{_text(self._homes[name])}" keys="members.keys"'
+                f'<membership cluster="town" listen="{spelled(self._homes[name])}" keys="members.keys"'
                 f' zone="{zone}" region="r">',
-                *(f'<seed address="{_text(seed)}"/>' for seed in seeds),
-                *(f'<peer name="{other}" address="{_text(self.switch.door(name, other))}"/>'
+                *(f'<seed address="{spelled(seed)}"/>' for seed in seeds),
+                *(f'<peer name="{other}" address="{spelled(self.switch.door(name, other))}"/>'
                   for other in self.names if other != name),
                 "</membership>",
             ]
@@ -120,11 +114,6 @@
             os.kill(self.processes[name].popen.pid, signal.SIGCONT)
         return time.monotonic()
 
-    def busy(self, seconds: float) -> Process:
-        """A neighbour that uses a core for so long."""
-        story = f"import time; end = time.monotonic() + {seconds}\nwhile time.monotonic() < end: pass"
-        return self._stack.enter_context(Process(["-c", story], self.folder, "busy"))
-
     def play(self, faults: Sequence[Fault], seed: int = 1) -> float:
         """These faults of links, from now on; when."""
         self.switch.play(Links(list(faults), seed))
@@ -135,14 +124,9 @@
     def ask(self, name: str) -> dict[str, Any] | None:
         """What the process tells of its view; None if it does not answer."""
         try:
-            call = http.client.HTTPConnection(*self.controls[name], timeout=1.0)
-            call.request("GET", "/admin/members")
-            body = call.getresponse().read()
-            call.close()
-            told: dict[str, Any] = orjson.loads(body)
-        except (OSError, http.client.HTTPException, orjson.JSONDecodeError):
+            return members.ask(*self.controls[name])
+        except members.MembersError:
             return None
-        return told
 
     def view(self, name: str) -> tuple[str, ...]:
         """Whom it sees."""
