Settle what is owed when something ends: true answers, no reset over them, nobody gone sent on

Now the decisions are told (CutShort), the attempt is stopped and told as never ran or may have run by its last byte, and the answer is theirs. - A client that left while its connection waited to be accepted was sent on: its end lies behind its first line and LegDriver wrote before that end was read. Whatever starts an attempt now asks last whether the client is still there (POLLRDHUP), at the dial and at the first byte. - A repeat was checked against its window when it was decided, not at its first byte, up to a connect time-out later. Send.start_by carries the window to the first byte; too late is told as MOOT, and blames no server. - ClientDriver._evicted, _finish without room to linger, a client without room and close_gently at its deadline closed over unread bytes; the reset overtakes the last answer. All of them now read what has come first. - A silent client was evicted, or timed out, with its whole request in the socket. Both look before they end it. - Evicted, or silent for 2 s, it got ERR, which says failed: it is BUSY, for nothing has run.

Ruled out: NODELAY is set on every accepted socket (Stream.__init__; a test holds it). An id, an exception and a line too much before the answer already end with ERR and a gentle close.

One constant changed: FLUSH, for it must outlast REFUSED_WAIT.

--- a/ironmill/admission.py
+++ b/ironmill/admission.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable
 from enum import Enum, auto
+from itertools import islice
 
 # Descriptors that are not for clients: standard streams, listener, signals, discovery (two while it
 # changes its address), and one for each issuer host's probes.
@@ -20,6 +21,9 @@
 SILENT_PART = 4
 LEAVING_PART = 8
 LEAST = 16  # descriptors for clients, however few are stated
+# Silent connections that are looked at for one that may go. Guards the processor in a flood: each look is a
+# system call, and who is passed over is read in the same turn and silent no more.
+LOOKED_AT = 16
 COMPLAINT_PAUSE = 1.0  # between two lines on malformed clients
 
 log = logging.getLogger("ironmill.admission")
@@ -34,8 +38,14 @@
     GONE = auto()
 
 
-def _nothing() -> None:
+# Ends a silent connection: at once where its descriptor is needed, else its answer has time to arrive. False
+# if it is silent no more, for bytes have come that nobody has read yet; nothing is done then.
+Evict = Callable[[bool], bool]
+
+
+def _nothing(_: bool) -> bool:
     """There is nothing left to evict."""
+    return False
 
 
 class Ticket:
@@ -43,7 +53,7 @@
 
     __slots__ = ("evict", "name", "stage")
 
-    def __init__(self, evict: Callable[[], object]) -> None:
+    def __init__(self, evict: Evict) -> None:
         self.evict = evict
         self.name = ""  # the id that it has claimed
         self.stage = Stage.SILENT
@@ -67,7 +77,7 @@
         """Descriptors held by clients, or set aside for their legs."""
         return len(self._silent) + 2 * self._admitted + self._leaving
 
-    def enter(self, evict: Callable[[], object]) -> Ticket | None:
+    def enter(self, evict: Evict) -> Ticket | None:
         """A connection was accepted; None if there is no room and none can be made."""
         # Guards descriptors and memory against clients that open connections and say nothing.
         if len(self._silent) >= self.silent_most or self.used() >= self.most:
@@ -122,12 +132,17 @@
         log.info("turned away: %s (%d more since the last such line)", reason, self._unsaid)
         self._complained_at, self._unsaid = now, 0
 
+    def end_silent(self) -> None:
+        """The process ends: whoever has said nothing is told so. Who has will be read, and answered then."""
+        for ticket in list(self._silent):
+            ticket.evict(False)
+
     def _make_room(self) -> None:
-        oldest = next(iter(self._silent), None)
-        if oldest is not None:
-            evict = oldest.evict
-            self._uncount(oldest)
-            evict()
+        """Guards a request that has come but was not read: its connection is passed over."""
+        for ticket in islice(self._silent, LOOKED_AT):
+            if ticket.evict(True):
+                self._uncount(ticket)
+                return
 
     def _uncount(self, ticket: Ticket) -> None:
         if ticket.stage is Stage.SILENT:
--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -9,6 +9,7 @@
 
 import itertools
 import logging
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -28,6 +29,7 @@
     Abandoned,
     Action,
     Carried,
+    CutShort,
     Ended,
     Established,
     Event,
@@ -62,6 +64,9 @@
     def start_leg(self, leg: Leg) -> None:
         """Open a connection to the leg's issuer host and ask there."""
 
+    def stop_leg(self) -> bool:
+        """End the leg that is out, at once. True if its first line was written whole, so it may have run."""
+
     def decline(self, retry_after: float) -> None:
         """Give the final answer that trying again is harmless, and when."""
 
@@ -78,6 +83,10 @@
     def start_leg(self, leg: Leg) -> None:
         """Nobody asks."""
 
+    def stop_leg(self) -> bool:
+        """Nothing is out."""
+        return False
+
     def decline(self, retry_after: float) -> None:
         """Nobody waits."""
 
@@ -121,6 +130,7 @@
     host: IssuerHost
     started_at: float
     timeout: float
+    start_by: float = math.inf  # on the decisions' clock: begun later it could take effect a second time
     ended: bool = False
 
 
@@ -228,7 +238,10 @@
         return leg
 
     def may_start(self, leg: Leg) -> bool:
-        """False once it is too late for a leg's first byte at an issuer host that was told to be leaving."""
+        """False once it is too late for a leg's first byte: for a repeat that could take effect a second
+        time, and at an issuer host that was told to be leaving."""
+        if self.now() >= leg.start_by:
+            return False
         since = leg.host.leaving_since
         return since is None or self.now() - since < self._config.drain_grace - DRAIN_LEAD
 
@@ -251,6 +264,8 @@
         leg.ended = True
         authorisation = leg.authorisation
         authorisation.leg = None
+        if outcome is Outcome.CONNECT_FAILED and self.now() >= leg.start_by:
+            outcome = Outcome.MOOT  # it came too late, and its issuer host is not to blame
         if authorisation.silent and outcome is Outcome.CANCELLED:
             outcome = Outcome.RESET  # it was the issuer host that was lost, not the client that left
         if authorisation.standing:
@@ -361,7 +376,7 @@
             self._feed(Ended(send.id, number, send.backend, Outcome.MOOT, 0.0, authorisation is None))
             return
         timeout = min(left, send.timeout) if send.timeout > 0.0 else left
-        leg = Leg(authorisation, authorisation.legs, host, self.now(), timeout)
+        leg = Leg(authorisation, authorisation.legs, host, self.now(), timeout, send.start_by)
         authorisation.legs += 1
         authorisation.leg = leg
         self._count("legs")
@@ -390,14 +405,21 @@
         holder.fail()
 
     def settle_all(self) -> None:
-        """The proxy ends: whoever is owed an answer is declined now, for nothing else will answer."""
+        """The proxy ends: whoever is owed an answer gets it now, for nothing else will answer.
+
+        Which one the decisions say, for an attempt that is out may have run: a request that may not simply be
+        repeated has failed then. Not to be called from a task of a connection.
+        """
         for authorisation in list(self._authorisations.values()):
-            if not authorisation.over:
-                self._count("declined at the end")
-                authorisation.count.dropped()
-                holder = authorisation.holder
-                self._drop(authorisation)
-                holder.decline(self._config.settings.retry_after_max * 0.2)
+            if authorisation.over:
+                continue
+            self._count("settled at the end")
+            self._feed(CutShort(authorisation.id))
+            leg = authorisation.leg
+            if leg is not None:
+                may_have_run = authorisation.holder.stop_leg()
+                self.ended(leg, Outcome.CANCELLED if may_have_run else Outcome.MOOT)
+            self._overdue(authorisation)  # guards against decisions that fail; else it is over
 
     # Book-keeping
 
--- a/ironmill/lifecycle.py
+++ b/ironmill/lifecycle.py
@@ -21,7 +21,8 @@
     DRAINING = "draining"  # told to send its clients away; the front may not have heard of it yet
     DRAINED = "drained"  # the front has heard
     ENDING = "ending"  # it answers what it owes and exits
-    CLOSING = "closing"  # the same, after a drain
+    SETTLING = "settling"  # its last moment: an attempt that began now could not get its answer through
+    CLOSING = "closing"  # it ends after a drain, or both
 
 
 class Told(Enum):
@@ -32,6 +33,7 @@
     HEARD = "heard"  # the front has had the time to hear of the drain
     RESUME = "resume"
     END = "end"
+    SETTLE = "settle"  # the end has come so near that nothing new may begin
 
 
 class Conduct(Struct, frozen=True):
@@ -51,6 +53,7 @@
     State.DRAINED: Conduct(ready=False, pong=False, opens=False, stays_away=True),
     # The front is not told no: where a successor listens at the same address it would take that for out.
     State.ENDING: Conduct(ready=False, pong=True, opens=True, stays_away=False),
+    State.SETTLING: Conduct(ready=False, pong=True, opens=False, stays_away=False),
     State.CLOSING: Conduct(ready=False, pong=False, opens=False, stays_away=False),
 }
 
@@ -69,8 +72,9 @@
     (State.DRAINING, Told.END): State.CLOSING,
     (State.DRAINED, Told.RESUME): State.SERVING,
     (State.DRAINED, Told.END): State.CLOSING,
+    (State.ENDING, Told.SETTLE): State.SETTLING,
 }
-LAST = (State.ENDING, State.CLOSING)
+LAST = (State.ENDING, State.SETTLING, State.CLOSING)
 
 
 class Lifecycle:
--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -130,8 +130,7 @@
         self._ticket = self._admission.enter(self._evicted)
         if self._ticket is None:
             self._count_unheard()
-            self._stream.send_now(busy(RETRY_FULL))
-            self._stream.close()
+            self._send_off(RETRY_FULL)
             return
         self._stream.on_close = self._closed
         self._reader = self._scheduler.spawn(self.guarded, self._read)
@@ -169,13 +168,30 @@
 
     # From the client
 
-    def _evicted(self) -> None:
-        """Make room: it has said nothing for longer than any other."""
+    def _evicted(self, at_once: bool) -> bool:
+        """Make room, or end with the process: it has said nothing. False if it has, and is about to be read.
+
+        It is told that trying again is harmless: a request may be on its way, and nothing of it has run.
+        """
+        if self._stream.has_unread():
+            return False
         self._side.close()
         self._scheduler.kill(self._reader)
+        if at_once:
+            self._send_off(RETRY_FULL)
+        else:
+            self._scheduler.spawn(self._finish, self._busy(RETRY_DRAINED))
+        return True
+
+    def _busy(self, retry_after: float) -> bytes:
+        """``BUSY``, with the time to come again where the settings allow one."""
+        return busy(retry_after if self._config.settings.retry_after_max > 0.0 else 0.0)
+
+    def _send_off(self, retry_after: float) -> None:
+        """The last answer and the close, without a wait: its descriptor is needed."""
         with contextlib.suppress(OSError):
-            self._stream.send_now(b"ERR\r\n")
-        self._stream.close()
+            self._stream.send_now(self._busy(retry_after))
+        self._stream.close_now()
 
     def _read(self) -> None:
         """Read until the end, or until a standing connection has nothing more to say for now."""
@@ -191,15 +207,15 @@
                 wait = None
                 if self._side.state is ClientState.FIRST:
                     wait = max(0.0, self._first_by - time.monotonic())
-                    if wait == 0.0:  # guards against bytes that drip, each of them in time
-                        raise TimedOutError
-                data = self._stream.receive(wait)
+                data = self._stream.receive(wait)  # also where it is too late: what has come by now counts
                 for event in self._side.receive(data) if data else self._side.end():
                     self._take(event)
                 if not data:
                     break
+                if self._side.state is ClientState.FIRST and time.monotonic() >= self._first_by:
+                    raise TimedOutError  # guards against bytes that drip, each of them in time
         except TimedOutError:
-            self._turn_away("no first line in time")
+            self._too_late()
         except OSError as error:
             if self._side.state is ClientState.FIRST and not isinstance(error, ConnectionResetError):
                 self._admission.complain(str(error))
@@ -208,6 +224,15 @@
             if self._side.state is ClientState.OVER and self._authorisation is None and self._first is None:
                 self._finish(b"")  # it left without a word
 
+    def _too_late(self) -> None:
+        """No first line in time: malformed if it was begun. Who has said nothing may be about to, and nothing
+        of that will have run."""
+        if self._side.begun:
+            self._turn_away("no whole first line in time")
+        else:
+            self._admission.complain("no first line in time")
+            self._finish(self._busy(RETRY_FULL))
+
     def _greet(self) -> None:
         """The handshake, where there is one; it counts into the time for the first line."""
         self._stream.shake(self._first_by)
@@ -267,7 +292,7 @@
         """The final answer, before anything was decided: trying again is harmless, and when."""
         if self._count is not None:
             self._count.dropped()
-        self._finish(busy(retry_after))
+        self._finish(self._busy(retry_after))
 
     def _open(self, first: FirstLine) -> None:
         if self._side.state is ClientState.OVER:
@@ -329,9 +354,20 @@
         self._leg = leg
         self._leg_task = self._scheduler.spawn(self.guarded, self._run_leg, leg)
 
+    def stop_leg(self) -> bool:
+        """End the leg that is out; the client still waits for its answer."""
+        driver, task = self._driver, self._leg_task
+        self._driver = self._leg_task = self._leg = None
+        self._scheduler.kill(task)
+        if driver is None:
+            return False
+        may_have_run = not driver.side.unwritten
+        driver.close()
+        return may_have_run
+
     def decline(self, retry_after: float) -> None:
         """``BUSY MS``, at once."""
-        self._answer(busy(retry_after))
+        self._answer(self._busy(retry_after))
 
     def fail(self) -> None:
         """Any other line than UP or BUSY means that it failed."""
@@ -363,7 +399,7 @@
         if lingers:
             self._stream.close_gently(wait)
         else:
-            self._stream.close()
+            self._stream.close_now()
 
     def _move(self, at_last: bool) -> None:
         """End a standing connection, between two lines unless the one under way does not end."""
@@ -380,14 +416,27 @@
     def _run_leg(self, leg: Leg) -> None:
         first = self._first
         assert first is not None
+        if not self._still_there():
+            return
         line = first.with_wait(max(1, int(leg.timeout * 1000.0)))
         driver = LegDriver(self._dial, line)
         self._driver = driver
         driver.run(
             self, leg.host.address, self._config.connect_timeout, leg.timeout,
-            lambda: self._gateway.may_start(leg),
+            lambda: self._gateway.may_start(leg) and self._still_there(),
         )
 
+    def _still_there(self) -> bool:
+        """False if the client has gone, which is then dealt with. Asked last of all before an attempt begins.
+
+        Guards issuer hosts against work for nobody: who left while its connection waited to be accepted has
+        sent its end behind its first line, and the attempt would be written before that end is read.
+        """
+        if self._stream.ended():
+            self._client_gone(reset=False)
+            return False
+        return True
+
     def _carry(self, first: FirstLine) -> None:
         """A connection that was open before the run goes back to the issuer host that holds it."""
         deadline = time.monotonic() + CARRY_WAIT
@@ -396,7 +445,7 @@
             if host is not None:
                 self._driver = LegDriver(self._dial, first.raw)
                 left = deadline - time.monotonic()
-                self._driver.run(self, host.address, self._config.connect_timeout, left, lambda: True)
+                self._driver.run(self, host.address, self._config.connect_timeout, left, self._still_there)
                 if self._driver.side.stood:
                     return
             self._scheduler.sleep(CARRY_PAUSE)
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -130,7 +130,7 @@
             self.membership.start()
         self.discovery.start()
         self.scheduler.call_later(self._first_answer_wait(), self._open)
-        shutdown = Shutdown(self.scheduler, self.gateway, self, self._config)
+        shutdown = Shutdown(self.scheduler, self.gateway, self, self._config, self.admission)
         self._signals.on(signal.SIGHUP, self.reload.run)
         self._signals.on(signal.SIGTERM, shutdown.run)
         self._signals.on(signal.SIGINT, shutdown.run)
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -8,9 +8,11 @@
 
 from msgspec import Struct
 
+from ironmill.admission import Admission
 from ironmill.config import Config
 from ironmill.gateway import Gateway
 from ironmill.lifecycle import LAST, Told
+from ironmill.net.client import REFUSED_WAIT
 from ironmill.net.send_away import SendAway
 from ironmill.scheduler import Scheduler
 
@@ -23,7 +25,9 @@
 LONGEST = 3.0
 GRACE = 0.7
 SPARE = 0.25  # the process has ended by itself so much sooner
-FLUSH = 0.15  # for the last answers to go out
+# Before its end: for the last answers to go out, and for whom they go to to end as well. Guards those answers
+# against the exit, which resets whatever still has unread bytes.
+FLUSH = REFUSED_WAIT + 0.05
 
 log = logging.getLogger("ironmill.shutdown")
 
@@ -57,11 +61,15 @@
 class Shutdown:
     """Ends the scheduler's run when a signal asks for it."""
 
-    def __init__(self, scheduler: Scheduler, gateway: Gateway, listener: Closable, config: Config) -> None:
+    def __init__(
+        self, scheduler: Scheduler, gateway: Gateway, listener: Closable, config: Config,
+        admission: Admission,
+    ) -> None:
         self._scheduler = scheduler
         self._gateway = gateway
         self._listener = listener
         self._config = config
+        self._admission = admission
 
     def run(self) -> None:
         """End in an orderly way. A second signal changes nothing."""
@@ -82,7 +90,11 @@
         self._listener.close()
         self._scheduler.sleep(times.move_at - times.close_at)
         SendAway(self._scheduler, self._gateway).run(end - FLUSH)
-        self._gateway.settle_all()  # guards what is still owed against the end by force
-        self._scheduler.sleep(FLUSH)
+        # Nothing begins from here on: its answer would not get through. What is owed is answered as what it
+        # is, and who has said nothing is told so before the exit closes its connection.
+        self._gateway.lifecycle.tell(Told.SETTLE)
+        self._gateway.settle_all()
+        self._admission.end_silent()
+        self._scheduler.sleep(max(FLUSH, end - time.monotonic()))
         figures, counts = self._gateway.figures, self._gateway.counts
         log.info("ended: %s, %d attempts, %s", figures.by_outcome(), figures.upstream_tries, counts)
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -5,6 +5,7 @@
 import contextlib
 import errno
 import os
+import select
 import socket
 import struct
 import time
@@ -129,6 +130,22 @@
         except OSError:
             return b""
 
+    def ended(self) -> bool:
+        """True if the other side has ended or reset the connection, also behind bytes not read yet."""
+        poll = select.poll()
+        try:
+            poll.register(self._sock.fileno(), select.POLLRDHUP)
+        except ValueError:  # closed on this side
+            return True
+        return bool(poll.poll(0))
+
+    def has_unread(self) -> bool:
+        """True if bytes have come that were not read yet."""
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:  # nothing, or no connection any more
+            return False
+
     def when_readable(self, function: Callable[..., object], *args: Any) -> Task:
         """A task that begins once there is something to read, an end or an error among it."""
         self.drained = False
@@ -171,6 +188,17 @@
         told, self.on_close = self.on_close, _nothing
         told()
 
+    def close_now(self) -> None:
+        """End the sending and close it without a wait. What has come is read first.
+
+        Guards the last answer: a close over unread bytes resets the connection, and the reset overtakes it.
+        """
+        self.finish()
+        left = DISCARD
+        while left > 0 and (data := self.receive_now()):
+            left -= len(data)
+        self.close()
+
     def abort(self) -> None:
         """Close it with a reset, as a broken connection ends."""
         if not self.closed:
@@ -194,4 +222,4 @@
         except (OSError, TimedOutError):
             pass
         finally:
-            self.close()
+            self.close_now()
--- a/ironmill/protocol/client.py
+++ b/ironmill/protocol/client.py
@@ -188,6 +188,11 @@
         self.state = ClientState.OVER
         return [Left()] if before is ClientState.WAITING else []
 
+    @property
+    def begun(self) -> bool:
+        """True if a part of a line has come."""
+        return not self._lines.between
+
     def close(self) -> None:
         """The client has its last answer."""
         self.state = ClientState.OVER
--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -22,6 +22,7 @@
     Abandoned,
     Action,
     Carried,
+    CutShort,
     Effect,
     Ended,
     Entry,
@@ -554,8 +555,8 @@
     """A request that is owed an answer, or a connection that stands."""
 
     __slots__ = (
-        "backend", "cls", "established", "maybe_ran", "moved", "out", "over", "request", "sent", "sent_at",
-        "tried",
+        "backend", "cls", "cut_short", "established", "maybe_ran", "moved", "out", "over", "request", "sent",
+        "sent_at", "tried",
     )
 
     def __init__(self, request: Request, cls: RequestClass) -> None:
@@ -567,6 +568,7 @@
         self.established = False
         self.moved = False  # told to come again elsewhere
         self.over = False  # no answer is owed any more
+        self.cut_short = False  # it is answered as soon as nothing is out
         self.backend = -1
         self.tried: list[int] = []
         self.maybe_ran: tuple[Backend, float] | None = None  # first attempt that may have run
@@ -630,6 +632,8 @@
                 self._probed(event)
             case Abandoned():
                 self._abandon(event)
+            case CutShort():
+                self._cut_short(event)
         actions, self._actions = self._actions, []
         return actions
 
@@ -894,7 +898,10 @@
         if self._budget.is_cold(backend, self._now):
             backend.cold_tokens -= 1
         self._read(backend)
-        self._actions.append(Send(live.request.id, backend.id, timeout))
+        # Guards the window for repeats against a connection that comes up late: it counts at the first byte.
+        repeats = live.maybe_ran is not None and live.cls.effect is Effect.KEYED
+        start_by = live.maybe_ran[1] + live.cls.window if live.maybe_ran and repeats else math.inf
+        self._actions.append(Send(live.request.id, backend.id, timeout, start_by))
 
     # The life of a request
 
@@ -1058,7 +1065,7 @@
             return
         if live.maybe_ran is None and not event.outcome.never_ran:
             live.maybe_ran = (backend, live.sent_at)
-        if event.outcome is Outcome.MOOT:
+        if event.outcome is Outcome.MOOT or live.cut_short:
             self._answer(live)
         elif live.sent == 1 and event.outcome.never_ran:
             self._place_or_hold(live)
@@ -1073,6 +1080,15 @@
         if not live.out:
             del self._live[event.id]
 
+    def _cut_short(self, event: CutShort) -> None:
+        """What is out may have run, so its end is waited for: it says whether a repeat is harmless."""
+        live = self._live.get(event.id)
+        if live is None or live.over:
+            return
+        live.cut_short = True
+        if not live.out:
+            self._answer(live)
+
     def _timer(self, name: str) -> None:
         if name == Subscription.TIMER:
             self._actions.append(Subscribe())
--- a/stonegap/interface.py
+++ b/stonegap/interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 from typing import TypeAlias
 
@@ -206,6 +207,12 @@
     id: str
 
 
+class CutShort(Struct, frozen=True):
+    """The relay ends: the request gets its answer now, or when the attempt that is out has ended."""
+
+    id: str
+
+
 class TimerFired(Struct, frozen=True):
     """A timer asked for by ``SetTimer`` ran out."""
 
@@ -213,7 +220,7 @@
 
 
 Event: TypeAlias = (
-    ListChanged | Request | Carried | Established | Ended | Note | Probed | Abandoned | TimerFired
+    ListChanged | Request | Carried | Established | Ended | Note | Probed | Abandoned | CutShort | TimerFired
 )
 
 
@@ -226,6 +233,7 @@
     id: str
     backend: int
     timeout: float
+    start_by: float = math.inf  # begun later, a repeat could take effect a second time
 
 
 class Refuse(Struct, frozen=True):
