Take connections open before the run however long they wait, and the tenant that a line names

Seen on the variant deploy/sites/patient, which has tenants: lines carry t=club. net/client.request_fields did not read it, so on sockets nobody was ever over its share. Where callers show credentials the tenant is theirs alone.

Both tests fail on the commit before. Ruled out: that the servers did not answer (none was ever asked).

--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -82,6 +82,7 @@
     except ValueError:
         hint = 0.0
     return {
+        "tenant": fields.get("t", ""),
         "key": number_of(first.key),
         "group": number_of(fields.get("g")),
         "load_hint": hint if math.isfinite(hint) else 0.0,
@@ -321,12 +322,13 @@
             return
         wait = int(first.fields["d"]) / 1000.0 if "d" in first.fields else None
         self._authorisation = self._gateway.authorise(
-            self, first.fields["c"], wait, came_at, self._count, **request_fields(first),
-            **self._caller_fields(),
+            self, first.fields["c"], wait, came_at, self._count, **self._request_fields(first)
         )
 
-    def _caller_fields(self) -> dict[str, str]:
-        return {} if self._guest is None else {"tenant": self._guest.tenant}
+    def _request_fields(self, first: FirstLine) -> dict[str, Any]:
+        """What the line says; where it matters who calls, the tenant is the credential's and no other."""
+        fields = request_fields(first)
+        return fields if self._guest is None else fields | {"tenant": self._guest.tenant}
 
     def _onward(self, onward: Onward) -> None:
         """Bytes to the issuer host. Reading waits meanwhile, so no more than a chunk is ever held."""
@@ -470,7 +472,7 @@
             host = self._gateway.issuer_host(first.fields["at"])
             assert host is not None
             self._leg = self._gateway.carry(
-                self, host, first.fields["c"], self._count, **request_fields(first), **self._caller_fields()
+                self, host, first.fields["c"], self._count, **self._request_fields(first)
             )
             self._authorisation = self._leg.authorisation
         elif not self._gateway.up(self._leg):
--- a/ironmill/protocol/client.py
+++ b/ironmill/protocol/client.py
@@ -13,7 +13,9 @@
 HELD_LIMIT = LIMIT  # of what a connection that was open elsewhere sends before it is up again here
 PINGS_MOST = 64  # questions of the front on one connection
 PINGS_AT_ONCE = 4  # in what is read at once: the front waits for each answer
-WAIT_MOST = 3_600_000  # milliseconds: a longer wait than an hour is not meant
+# Milliseconds: a longer wait than a day is not meant. Connections that were open before the run say
+# 4,294,967, the most that 32 bits of microseconds hold.
+WAIT_MOST = 86_400_000
 
 
 class MalformedLineError(Exception):
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -21,7 +21,8 @@
 from ironmill.net.shutdown import Shutdown
 from ironmill.net.sockets import CHUNK, Stream, TimedOutError
 from ironmill.routing_table import Routing
-from stonegap.interface import Scope
+from stonegap.balance import Balancer
+from stonegap.interface import Carried, Event, Request, Scope
 from tests.helpers import KEYED, SAFE, SETTINGS, UNSAFE
 from tests.test_net import ONE, OPEN, Town, answer, pace, read_line
 
@@ -368,3 +369,40 @@
 
     Town().run(story)
     assert not caplog.records
+
+
+def test_a_connection_open_before_the_run_may_wait_as_long_as_it_says() -> None:
+    """Where connections end at the proxy each of them comes so; turned away, all were lost."""
+    def story(town: Town) -> None:
+        client = town.client(b"OPEN 1a 2b c=read,d=4294967,g=3c,at=s-0\r\n")
+        leg = town.leg()
+        read_line(leg)
+        leg.send(b"UP r1\r\n")
+        assert read_line(client) == b"UP r1\r\n"
+
+    Town().run(story)
+
+
+def test_the_tenant_that_a_line_names_is_told_to_the_decisions(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its share is in the settings, and without it nobody is over his share."""
+    told: list[Request] = []
+    handle = Balancer.handle
+
+    def recorded(balancer: Balancer, event: Event, now: float) -> object:
+        if isinstance(event, Request | Carried):
+            told.append(event.request if isinstance(event, Carried) else event)
+        return handle(balancer, event, now)
+
+    monkeypatch.setattr(Balancer, "handle", recorded)
+
+    def story(town: Town) -> None:
+        held = []
+        for at, line in enumerate((b"t=club,d=900", b"d=900", b"t=press,d=900,at=s-0")):
+            held.append(town.client(b"OPEN %d 2b c=read,%b\r\n" % (at, line)))
+            held.append(town.leg())
+            read_line(held[-1])
+            held[-1].send(b"UP r1\r\n")
+        town.until(lambda: len(town.gateway.standing()) == 3)
+
+    Town().run(story)
+    assert [request.tenant for request in told] == ["club", "", "press"]
