Let an end past a write that waits: who takes nothing more after it is given up within 1 s

Seen, by tests on loopback: while a write to a client waits nobody reads its server, and the other way round, so a reset or an end of the source lay behind it for as long as the other side read nothing (Stream.send without a time in ClientDriver._write and _onward). Both now look each 0.25 s whether the source has ended (POLLRDHUP) and give up 0.4 s later unless something more was taken, 0.65 s in all of the 1 s that the protocol allows.

A reader that is slow but reads gets all of it, also after its server's end (a test).

--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -336,7 +336,10 @@
         if not onward.data or driver is None or driver.stream is None or leg is None:
             return
         try:
-            driver.stream.send(onward.data)
+            driver.stream.send_beside(onward.data, self._stream)
+        except TimedOutError:
+            self._client_gone(reset=True)  # not all that it sent has got through
+            return
         except OSError:
             return  # the leg's task sees the end as well, and deals with it
         self._gateway.lines_sent(leg, onward.lines)
@@ -529,10 +532,12 @@
             if rest or self._stream.behind:
                 if self._leg is not None:
                     self._gateway.client_slow(self._leg)
-                self._stream.send(rest)
+                source = None if self._driver is None else self._driver.stream
+                assert source is not None  # what is written comes from there
+                self._stream.send_beside(rest, source)
                 if self._leg is not None:
                     self._gateway.client_reads(self._leg)
-        except OSError:
+        except (OSError, TimedOutError):
             self._client_gone(reset=True)
             return False
         finally:
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import errno
+import math
 import os
 import select
 import socket
@@ -17,6 +18,10 @@
 CHUNK = 16 * 1024  # the most that is read at once, and so the most that is held for the other side
 DISCARD = 64 * 1024  # the most that is read and thrown away of what a client sends after its last answer
 READS_IN_A_ROW = 4  # of one connection; then the others have a turn
+# While a write waits for its reader: between two looks whether who sent the bytes has ended, and from then on
+# until it is given up. An end has to reach the other side within 1 s.
+BLOCKED_LOOK = 0.25
+BLOCKED_WAIT = 0.4
 _LINGER_NONE = struct.pack("ii", 1, 0)
 
 
@@ -174,6 +179,29 @@
         while rest:
             rest = rest[self.send_some(rest, timeout) :]
 
+    def flush(self, timeout: float | None = None) -> None:
+        """Wait until the socket has taken what is held; a plain stream holds nothing."""
+
+    def send_beside(self, data: bytes, source: Stream) -> None:
+        """Write all of what came from the source, however slowly it is taken while the source stands.
+
+        TimedOutError once the source has ended and for BLOCKED_WAIT nothing more was taken. Guards the end of
+        the source, which nobody reads meanwhile: it lies behind bytes that wait for this write.
+        """
+        rest, give_up_at = memoryview(data), math.inf
+        while rest or self.behind:
+            try:
+                if rest:
+                    rest = rest[self.send_some(rest, BLOCKED_LOOK) :]
+                else:
+                    self.flush(BLOCKED_LOOK)
+                give_up_at = math.inf
+            except TimedOutError:
+                if source.ended():
+                    give_up_at = min(give_up_at, time.monotonic() + BLOCKED_WAIT)
+                if time.monotonic() >= give_up_at:
+                    raise
+
     def finish(self) -> None:
         """End the sending; the other direction stays."""
         with contextlib.suppress(OSError):  # the other side may be faster
--- a/ironmill/net/tls.py
+++ b/ironmill/net/tls.py
@@ -114,6 +114,10 @@
         super().send(data, timeout)
         self._flush(timeout)
 
+    def flush(self, timeout: float | None = None) -> None:
+        """Wait until the socket has taken the records that are held."""
+        self._flush(timeout)
+
     def finish(self) -> None:
         """Say that no more is sent; the other direction stays."""
         self._say_end()
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -17,6 +17,8 @@
 from ironmill.net import client as client_module
 from ironmill.net import discovery as discovery_module
 from ironmill.net import shutdown as shutdown_module
+from ironmill.net import sockets as sockets_module
+from ironmill.net.client import ClientDriver
 from ironmill.net.discovery import Discovery
 from ironmill.net.shutdown import Shutdown
 from ironmill.net.sockets import CHUNK, Stream, TimedOutError
@@ -406,3 +408,73 @@
 
     Town().run(story)
     assert [request.tenant for request in told] == ["club", "", "press"]
+
+
+def blocked(town: Town, writer: Stream) -> None:
+    """Send until nothing more is taken, for the reader at the other end reads nothing."""
+    piece = b"z" * CHUNK
+    while True:
+        try:
+            writer.send(piece, 0.05)
+        except TimedOutError:
+            return
+
+
+@pytest.mark.parametrize("end", ["reset", "finish"])
+def test_a_server_s_end_gets_past_a_client_that_reads_nothing(end: str) -> None:
+    """Nobody reads the server while the write to the client waits."""
+    def story(town: Town) -> None:
+        client, leg = town.pair()
+        (standing,) = town.gateway.standing()
+        driver = standing.holder
+        assert isinstance(driver, ClientDriver)
+        if end == "reset":
+            blocked(town, leg)
+            leg.abort()
+        else:
+            # So little is held on the way to the client that the rest waits at the proxy, the end behind it.
+            driver._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            client._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            while not driver._writing:
+                leg.send(b"z" * 1024)
+                town.scheduler.sleep(0.0)
+            leg.finish()
+        town.until(lambda: not town.gateway.held())
+        assert not town.admission.used()
+
+    Town().run(story)
+
+
+def test_a_client_s_end_gets_past_a_server_that_reads_nothing() -> None:
+    def story(town: Town) -> None:
+        client, leg = town.pair()
+        blocked(town, client)
+        client.abort()
+        town.until(lambda: not town.gateway.held())
+        with pytest.raises(ConnectionResetError):  # what came is not all that was sent
+            while leg.receive(5.0):
+                pass
+
+    Town().run(story)
+
+
+def test_a_slow_reader_gets_all_of_a_server_that_has_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Only who takes nothing at all is given up."""
+    monkeypatch.setattr(sockets_module, "BLOCKED_LOOK", 0.01)
+    monkeypatch.setattr(sockets_module, "BLOCKED_WAIT", 0.4)
+
+    def story(town: Town) -> None:
+        client, leg = town.pair()
+        client._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        (standing,) = town.gateway.standing()
+        assert isinstance(standing.holder, ClientDriver)
+        standing.holder._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+        leg.send(b"z" * 800_000)
+        leg.finish()
+        got = 0
+        while piece := client.receive(5.0):
+            got += len(piece)
+            town.scheduler.sleep(0.02)  # longer in all than the wait for one who takes nothing
+        assert got == 800_000
+
+    Town().run(story)
