--- a/ironmill/admission.py
+++ b/ironmill/admission.py
@@ -13,8 +13,9 @@
 from enum import Enum, auto
 from itertools import islice
 
-# Descriptors that are not for clients: standard streams, listener, signals, discovery (two while it
-# changes its address), and one for each issuer host's probes.
+# Descriptors that are not for clients: standard streams 3, poller 1, signals 2, listeners 3 (clients, TLS,
+# staff), staff's callers 12, discovery 2 while it changes its address, a file that is read 1, membership 1,
+# probes 20 (``net/probe``); 45, and the connection that is being accepted.
 OWN = 48
 # What may be silent, and what may be leaving, as parts of the stated descriptors. Clients' requests hold
 # a third of them at the most, and as many legs.
--- a/ironmill/net/listener.py
+++ b/ironmill/net/listener.py
@@ -15,7 +15,7 @@
 from array import array
 from collections.abc import Callable
 
-from ironmill.net.sockets import Stream
+from ironmill.net.sockets import EXHAUSTED, Stream
 from ironmill.scheduler import READ, Scheduler, Task
 
 BACKLOG = 1024
@@ -24,7 +24,6 @@
 # Linux's options of a group of sockets at one address, which Python does not name; a program in classic BPF.
 _ATTACH_PROGRAM, _DETACH_PROGRAM = 51, 68
 _RETURN = 0x06
-_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 log = logging.getLogger("ironmill.listener")
 
@@ -117,7 +116,7 @@
         except BlockingIOError:
             return False
         except OSError as error:
-            if error.errno in _EXHAUSTED:
+            if error.errno in EXHAUSTED:
                 # Guards against a busy loop: the waiting connection keeps the listener readable.
                 log.warning("cannot accept: %s", error.strerror)
                 if self._task is not None and not self._task.killed:
--- a/ironmill/net/probe.py
+++ b/ironmill/net/probe.py
@@ -7,13 +7,16 @@
 from functools import partial
 
 from ironmill.net.issuer_host import Dial
-from ironmill.net.sockets import Stream, TimedOutError
+from ironmill.net.sockets import EXHAUSTED, Stream, TimedOutError
 from ironmill.protocol.issuer_host import ProbeSide, Report
 from ironmill.routing_table import IssuerHost
 from ironmill.scheduler import Scheduler
 from stonegap.interface import Outcome
 
 ANSWER_WAIT = 0.5
+# Connections kept for probes. Guards the descriptors, of which ``admission.OWN`` sets so many aside: one to
+# each of 90 issuer hosts was more than all of those. The one that was used longest ago gives way.
+KEPT_MOST = 20
 
 
 class ProbeDriver:
@@ -30,7 +33,7 @@
         self._dial = dial or partial(Stream.connect, scheduler)
         self._connect_timeout = connect_timeout
         self._tell = tell
-        self._streams: dict[int, Stream] = {}
+        self._streams: dict[int, Stream] = {}  # by issuer host, the one used longest ago first
         self._asking: set[int] = set()
 
     def probe(self, host: IssuerHost) -> None:
@@ -45,8 +48,8 @@
             outcome, report = self._ask(host)
         except TimedOutError:
             outcome = Outcome.TIMEOUT
-        except OSError:
-            outcome = Outcome.CONNECT_FAILED
+        except OSError as error:
+            outcome = Outcome.MOOT if error.errno in EXHAUSTED else Outcome.CONNECT_FAILED
         finally:
             self._asking.discard(host.number)
         if outcome is not Outcome.OK or host.leaving_since is not None:
@@ -54,12 +57,32 @@
         self._tell(host, outcome, report)
 
     def _ask(self, host: IssuerHost) -> tuple[Outcome, Report]:
-        if host.number not in self._streams:
-            stream = self._dial(host.address, self._connect_timeout)
+        stream = self._streams.pop(host.number, None)
+        if stream is not None and (stream.ended() or stream.has_unread()):
+            # Guards a sound issuer host against blame for a connection that it closed as idle, and the report
+            # against a second answer to an earlier question.
+            stream.close()
+            stream = None
+        if stream is not None:
             self._streams[host.number] = stream
+        else:
+            if len(self._streams) >= KEPT_MOST and not self._make_room():
+                return Outcome.MOOT, ()
+            stream = self._streams[host.number] = self._dial(host.address, self._connect_timeout)
             stream.shake(time.monotonic() + self._connect_timeout)
-        stream, side = self._streams[host.number], ProbeSide()
-        deadline = time.monotonic() + ANSWER_WAIT
+        return self._put(stream)
+
+    def _make_room(self) -> bool:
+        """Close the connection that was used longest ago; False if questions are out on all of them."""
+        number = next((number for number in self._streams if number not in self._asking), None)
+        if number is None:
+            return False
+        self._streams.pop(number).close()
+        return True
+
+    @staticmethod
+    def _put(stream: Stream) -> tuple[Outcome, Report]:
+        side, deadline = ProbeSide(), time.monotonic() + ANSWER_WAIT
         stream.send(side.QUESTION, ANSWER_WAIT)
         while data := stream.receive(deadline - time.monotonic()):
             answer = side.receive(data)
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -16,15 +17,17 @@
 from ironmill.lifecycle import State, Told
 from ironmill.net import client as client_module
 from ironmill.net import discovery as discovery_module
+from ironmill.net import probe as probe_module
 from ironmill.net import shutdown as shutdown_module
 from ironmill.net import sockets as sockets_module
 from ironmill.net.client import ClientDriver
 from ironmill.net.discovery import Discovery
+from ironmill.net.probe import KEPT_MOST, ProbeDriver
 from ironmill.net.shutdown import Shutdown
 from ironmill.net.sockets import CHUNK, Stream, TimedOutError
 from ironmill.routing_table import Routing
 from stonegap.balance import Balancer
-from stonegap.interface import Carried, Event, Request, Scope
+from stonegap.interface import Carried, Event, Outcome, Request, Scope
 from tests.helpers import KEYED, SAFE, SETTINGS, UNSAFE
 from tests.test_net import ONE, OPEN, Town, answer, pace, read_line
 
@@ -478,3 +481,80 @@
         assert got == 800_000
 
     Town().run(story)
+
+
+def prober(town: Town, told: list[tuple[Outcome, object]]) -> ProbeDriver:
+    return ProbeDriver(town.scheduler, 0.5, lambda _, outcome, report: told.append((outcome, report)))
+
+
+@pytest.mark.parametrize("between", [b"", b"PONG x0=9\r\n"])
+def test_a_probe_does_not_go_by_what_came_between_two_questions(between: bytes) -> None:
+    """Its connection was closed as idle, or a second answer came: neither says anything of the load."""
+    told: list[tuple[Outcome, object]] = []
+
+    def story(town: Town) -> None:
+        driver, host = prober(town, told), town.gateway.issuer_host("s-0")
+        assert host is not None
+        for _ in range(2):
+            driver.probe(host)
+            leg = town.leg()  # the second one is a new connection
+            read_line(leg)
+            leg.send(b"PONG x0=0.5\r\n")
+            town.until(lambda: bool(told))
+            if between:
+                leg.send(between)
+            else:
+                leg.close()
+        town.until(lambda: len(told) == 2)
+
+    Town().run(story)
+    assert told == [(Outcome.OK, (("x0", 0.5),))] * 2
+
+
+def test_probes_keep_to_the_descriptors_that_are_set_aside_for_them(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(probe_module, "ANSWER_WAIT", 60.0)
+    told: list[tuple[Outcome, object]] = []
+
+    def story(town: Town) -> None:
+        driver, held = prober(town, told), []
+        hosts = [host for at in range(KEPT_MOST + 3) if (host := town.gateway.issuer_host(f"s-{at}"))]
+        for host in hosts:
+            driver.probe(host)
+            held.append(town.leg())
+            if len(held) > 1:
+                read_line(held[-1])
+                held[-1].send(b"PONG x0=0.5\r\n")
+                town.until(lambda: len(told) == len(held) - 1)
+        assert len(driver._streams) == KEPT_MOST
+        assert read_line(held[0]) == b"STATS\r\n"  # a question is out there: it stays
+        assert [leg.ended() for leg in held[:5]] == [False, True, True, True, False]
+        assert {outcome for outcome, _ in told} == {Outcome.OK}
+
+    Town(KEPT_MOST + 3).run(story)
+
+
+def test_descriptors_that_run_out_cost_a_probe_and_a_call_of_discovery_no_more(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The issuer host is not to blame, and the watch goes on."""
+    told: list[tuple[Outcome, object]] = []
+    connect, failed = Stream.connect, list[bool]()
+
+    def full(*args: object) -> Stream:
+        if len(failed) < 2:
+            failed.append(True)
+            raise OSError(errno.EMFILE, "too many")
+        return connect(*args)  # type: ignore[arg-type]
+
+    def story(town: Town) -> None:
+        host = town.gateway.issuer_host("s-0")
+        assert host is not None
+        monkeypatch.setattr(Stream, "connect", full)
+        prober(town, told).probe(host)
+        town.until(lambda: bool(told))
+        Discovery(town.scheduler, town.listeners[0].address, lambda _: None, pace).start()
+        assert asked(town.leg()) == b"/api/targets"
+
+    Town().run(story)
+    assert told == [(Outcome.MOOT, ())]
+    assert len(failed) == 2
