Hold the cold budget of the whole fleet to N + 2 x root of N + 2 in every span of the rule's length

Causes in ColdBudget: what a window left was kept for one more, so grants of three windows met in one span; filling by what is held aimed at half of the rule, so 1.5 N on average; a process that had just started granted a whole window anew.

Now: nothing is kept; the first window of a process counts by what is left of it; filling, too, goes by COLD_SAFETY (0.4, unchanged) of the rule, and by what the fullest tenth of the warm servers hold instead of the mean, since what counts is what a server can hold. The arithmetic stands at the constant: 0.94 N on average at the most.

--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -112,9 +112,18 @@
 DRAIN_LOOK_COLD = 1.0
 DRAIN_TIMER = "drain:"
 
-# Cold start: part of the tipping load that all relays together aim at. The rest is left to chance, to a span
-# that lies across two windows and to what was kept from the window before.
+# Cold start: the part of the rule's budget N that all relays together grant in one window. A span as long as
+# a window holds the end of one and the begin of the next at each relay: 2 x 0.4 N on average at the most, if
+# nothing came before and all comes at once. A relay that has just started grants anew what the process before
+# it may have used, but only for what is left of its window: 0.7 x 0.4 N / 2 more when seven in ten restart
+# together. In sum 0.94 N on average; grants are rounded by chance, so the sum spreads by less than its root,
+# and the rule leaves 2 x root of N + 2. Traffic that is uneven between relays changes nothing: their rates
+# add up to the true one, and what is held is shared out evenly. Of the two of an upgrade the old one gets
+# nothing new.
 COLD_SAFETY = 0.4
+# What all but the fullest tenth of the warm backends hold a backend can hold: those beyond that may be
+# dropping connections. The mean may be a third of it in quiet times.
+FULLEST = 0.9
 # Memory of the ordinary rate of placements, seconds; longer trusts the past more.
 RATE_MEMORY = 30.0
 RATE_LEAST_SPAN = 5.0
@@ -294,7 +303,7 @@
     """What this relay knows of one backend."""
 
     __slots__ = (
-        "cell", "cold_kept", "cold_tokens", "cold_window", "cost", "failures", "id", "idle_until",
+        "cell", "cold_tokens", "cold_window", "cost", "failures", "id", "idle_until",
         "jammed_at", "live", "load", "load_at", "load_live", "load_same", "out_until", "probed_at", "ready",
         "report", "standing", "standing_at", "started_at", "trying", "unlisted", "weight", "zone",
     )
@@ -324,7 +333,6 @@
         self.jammed_at = -math.inf  # when a message last took longer than its aim
         self.cold_window = -1
         self.cold_tokens = 0
-        self.cold_kept = False  # the tokens are those of the window before
 
 
 class Health:
@@ -401,18 +409,16 @@
     a window of ``tip_after``. Each relay keeps to what it sends a warm backend in ordinary times,
     times the multiple and the share of capacity that the cold one is sure to have: if all do so,
     the sum keeps too. With many relays that is far below one connection a window; whole ones are
-    then granted by seeded chance. What a window leaves unused is kept for one more and then lost, not saved
-    for a burst: where a relay places one connection in five windows nearly all of it was lost, and cold
-    backends stood empty beside jammed ones.
+    then granted by seeded chance. What a window leaves unused is lost, not saved for a burst.
 
-    Where the list tells what backends hold, a cold one may also be filled to what a warm one holds by the end
-    of its warm-up, along with its capacity. The rule counts a capacity in new connections by what fills the
-    backend over its warm-up, so that is about half of the rule, and less where the warm ones are not full.
+    Where the list tells what backends hold, a cold one may also be filled along with its capacity: the rule
+    counts a capacity in new connections by what fills the backend over its warm-up.
     """
 
     def __init__(self, settings: Settings, rng: random.Random, now: float) -> None:
         self._settings = settings
         self._rng = rng
+        self._born = now
         self._start = self._sum_at = now + RATE_SKIP
         self._sum = 0.0
         self._phase = rng.random() * settings.tip_after
@@ -420,7 +426,9 @@
         self._stood = 0.0
         self._stood_at = now
         self._served = 0  # to their end
-        self.held = 0.0  # on a warm backend by all relays, as the list tells; 0 where it does not
+        # On a warm backend by all relays, as the list tells, 0 where it does not: on average and on a full
+        # one.
+        self.held = self.held_full = 0.0
 
     def arrived(self, ready: int, now: float) -> None:
         """A first try came (crowds that come again say nothing about the ordinary rate)."""
@@ -449,11 +457,13 @@
         """True if this window still has a connection for the cold backend."""
         window = int((now + self._phase) / self._settings.tip_after)
         if backend.cold_window != window:
-            kept = backend.cold_tokens if backend.cold_window == window - 1 and not backend.cold_kept else 0
             backend.cold_window = window
-            granted = int(self._share(backend, now) + self._rng.random())
-            backend.cold_kept = granted == 0
-            backend.cold_tokens = granted or kept
+            share = self._share(backend, now)
+            if now - self._born < self._settings.tip_after:
+                # Guards against a start in the midst of a window whose grant the process before may have
+                # used.
+                share *= 1.0 - (now + self._phase) / self._settings.tip_after % 1.0
+            backend.cold_tokens = int(share + self._rng.random())
         return backend.cold_tokens > 0
 
     def _share(self, backend: Backend, now: float) -> float:
@@ -465,12 +475,10 @@
         rate = total / (max(RATE_LEAST_SPAN, span) + told)
         age = min(1.0, max(0.0, (now - backend.started_at) / rules.ramp_time))
         capacity = rules.cold_from + (1.0 - rules.cold_from) * age
-        ordinary = COLD_SAFETY * rules.fall_multiple * rate
         # Guards cold backends against standing empty while the others jam: the ordinary rate of connections
         # that last 30 s is a tenth of what comes when half of the backends are replaced within seconds.
-        warm_up = max(rules.tip_after, rules.ramp_time) * (1.0 + rules.cold_from) / 2.0
-        filling = self.held / (warm_up * rules.relays)
-        return max(ordinary, filling) * capacity * rules.tip_after
+        filling = self.held_full / (max(rules.tip_after, rules.ramp_time) * rules.relays)
+        return COLD_SAFETY * rules.fall_multiple * max(rate, filling) * capacity * rules.tip_after
 
 
 # --- load shedding -------------------------------------------------------------------------------
@@ -683,8 +691,9 @@
                 self._read(backend)
             warm = [b.weight for b in self._backends.values()
                     if b.ready and not self._budget.is_cold(b, self._now)]
-            held = sum(self._largest * (self._largest / weight - 1.0) for weight in warm)
-            self._budget.held = held / max(1, len(warm))
+            held = sorted(self._largest * (self._largest / weight - 1.0) for weight in warm)
+            self._budget.held = sum(held) / max(1, len(held))
+            self._budget.held_full = held[int(FULLEST * (len(held) - 1))] if held else 0.0
             self._follow()
 
     def _follow(self) -> None:
