Serve classes whose effect is not known, and end a connection whole where a task of it fails twice

- settings: an effect, or a group that drops repeats, that the program has not seen by name was a refusal to start.
It is served now and never repeated, with one warning that names class and word.
- ClientDriver: _finish and _move ran outside of guarded, so a failure there left socket, slot and id behind until the collector came; a failure within guarded's own end did the same.
Both end with the descriptor closed.
- Control closed over the unread bytes of a staff call that makes room.

--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -154,9 +154,12 @@
             self._side.close()
             if self._count is not None:
                 self._count.failed()
-            if self._authorisation is not None:
-                self._gateway.left(self._authorisation)
-            self._finish(b"" if standing else b"ERR\r\n")
+            try:
+                if self._authorisation is not None:
+                    self._gateway.left(self._authorisation)
+                self._finish(b"" if standing else b"ERR\r\n")
+            finally:  # guards its descriptor, its id and its slot against what failed a second time
+                self._stream.abort()
 
     def _closed(self) -> None:
         """The client's socket is closed: nothing of it counts any more."""
@@ -181,7 +184,7 @@
         if at_once:
             self._send_off(RETRY_FULL)
         else:
-            self._scheduler.spawn(self._finish, self._busy(RETRY_DRAINED))
+            self._scheduler.spawn(self.guarded, self._finish, self._busy(RETRY_DRAINED))
         return True
 
     def _busy(self, retry_after: float) -> bytes:
@@ -382,12 +385,12 @@
         """``MOVE``, as soon as no line is under way."""
         if not self._move_wanted:
             self._move_wanted = True
-            self._scheduler.call_later(MOVE_WAIT, self._scheduler.spawn, self._move, True)
-        self._scheduler.spawn(self._move, False)
+            self._scheduler.call_later(MOVE_WAIT, self._scheduler.spawn, self.guarded, self._move, True)
+        self._scheduler.spawn(self.guarded, self._move, False)
 
     def _answer(self, line: bytes) -> None:
         self._side.close()
-        self._scheduler.spawn(self._finish, line)
+        self._scheduler.spawn(self.guarded, self._finish, line)
 
     def _finish(self, line: bytes, wait: float = REFUSED_WAIT) -> None:
         """The last line, and the end of all that is left."""
@@ -499,7 +502,7 @@
         if not self._write(relayed.data):
             return False
         if self._move_wanted:
-            self._scheduler.spawn(self._move, False)
+            self._scheduler.spawn(self.guarded, self._move, False)
         return True
 
     def leg_over(self, driver: LegDriver, end: LegEnd) -> None:
--- a/ironmill/net/control.py
+++ b/ironmill/net/control.py
@@ -50,7 +50,7 @@
         while len(self._callers) >= CALLERS_MOST:
             oldest = next(iter(self._callers))
             self._scheduler.kill(self._callers.pop(oldest))
-            oldest.close()
+            oldest.close_now()
         self._callers[stream] = self._scheduler.spawn(self._serve, stream)
 
     def _serve(self, stream: Stream) -> None:
@@ -67,7 +67,7 @@
         finally:
             self._callers.pop(stream, None)
             if not stream.closed:
-                stream.close()
+                stream.close_now()
 
     def _hear(self, stream: Stream, side: CallSide) -> Answer | None:
         """The answer to what comes; None if the caller ends before its call is whole."""
--- a/stonegap/settings.py
+++ b/stonegap/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Mapping
 from typing import TypeVar
 
@@ -11,6 +12,8 @@
 
 T = TypeVar("T")
 
+log = logging.getLogger("stonegap.settings")
+
 EFFECTS = {"pure": Effect.SAFE, "token": Effect.KEYED, "side_effect": Effect.UNSAFE}
 SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
 
@@ -99,6 +102,24 @@
         return [_finite(item, path, self._what) for item in items]
 
 
+def _effect_and_scope(item: Tree) -> tuple[Effect, Scope]:
+    """How safe it is to run a request of the class again.
+
+    An effect, or a group that drops repeats, that this program does not know is taken as the worst: nothing
+    of the class is repeated. Guards a customer whose settings are newer than the program against a refusal to
+    start.
+    """
+    effect_name, scope_name = item.text("effect"), item.text("group", "all")
+    effect, scope = EFFECTS.get(effect_name), SCOPES.get(scope_name)
+    if effect is None or (effect is Effect.KEYED and scope is None):
+        log.warning(
+            "class %s: %s is not known, so nothing of it is repeated", item.text("name"),
+            f"effect {effect_name!r}" if effect is None else f"group {scope_name!r}",
+        )
+        effect = Effect.UNSAFE
+    return effect, scope or Scope.ALL
+
+
 def parse_settings(text: str) -> Settings:
     """The settings from the start message's JSON text."""
     return settings_from(Tree(from_json(text, "settings:")))
@@ -112,14 +133,15 @@
     classes = []
     for at, item in enumerate(root.trees("categories")):
         aim = item.number("aimS")
+        effect, scope = _effect_and_scope(item)
         classes.append(
             RequestClass(
                 name=item.text("name"),
                 aim=aim,
                 worth=item.number("points", 1.0),
                 message_aim=aims[at] if at < len(aims) else aim,
-                effect=item.choice("effect", EFFECTS),
-                scope=item.choice("group", SCOPES, "all"),
+                effect=effect,
+                scope=scope,
                 window=item.number("windowS", 0.0),
             )
         )
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -22,12 +22,13 @@
 from ironmill.net import sockets as sockets_module
 from ironmill.net.client import ClientDriver
 from ironmill.net.discovery import Discovery
+from ironmill.net.issuer_host import LegDriver
 from ironmill.net.probe import KEPT_MOST, ProbeDriver
 from ironmill.net.shutdown import Shutdown
 from ironmill.net.sockets import CHUNK, Stream, TimedOutError
 from ironmill.routing_table import Routing
 from stonegap.balance import Balancer
-from stonegap.interface import Carried, Event, Outcome, Request, Scope
+from stonegap.interface import Carried, Ended, Event, Outcome, Request, Scope
 from tests.helpers import KEYED, SAFE, SETTINGS, UNSAFE
 from tests.test_net import ONE, OPEN, Town, answer, pace, read_line
 
@@ -558,3 +559,40 @@
     Town().run(story)
     assert told == [(Outcome.MOOT, ())]
     assert len(failed) == 2
+
+
+@pytest.mark.parametrize("step", ["_ask", "close_gently"])
+def test_a_task_that_fails_settles_all_that_its_connection_owes(
+    monkeypatch: pytest.MonkeyPatch, step: str
+) -> None:
+    """While its attempt is out, or while its last answer is given: no slot, id or descriptor stays behind."""
+    told: list[Ended] = []
+    handle = Balancer.handle
+
+    def recorded(balancer: Balancer, event: Event, now: float) -> object:
+        if isinstance(event, Ended):
+            told.append(event)
+        return handle(balancer, event, now)
+
+    def fails(*_: object) -> None:
+        raise ZeroDivisionError
+
+    def story(town: Town) -> None:
+        client = town.client()
+        monkeypatch.setattr(Balancer, "handle", recorded)
+        monkeypatch.setattr(LegDriver if step == "_ask" else Stream, step, fails)
+        client.send(OPEN)
+        leg = town.leg()
+        if step == "close_gently":
+            read_line(leg)
+            town.gateway.settle_all()
+        assert read_line(client).split()[0] == (b"ERR" if step == "_ask" else b"BUSY")
+        town.until(lambda: not town.admission.used())
+        assert not town.gateway.held()
+        assert not town.admission._names
+        counted = town.gateway.figures.classes["read"]
+        assert (counted.taken, counted.bad_gateway + counted.dropped, counted.pending) == (1, 1, 0)
+        assert town.gateway.figures.in_progress == 0
+
+    Town().run(story)
+    assert len(told) == 1
