--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,41 @@
-"""The same verdict every time: hypothesis draws the same examples and watches no clock."""
+"""The same verdict every time: hypothesis draws the same examples and watches no clock.
+
+Tests that ``KNOWN-RED.txt`` names are run and expected to fail; one that passes fails the run, and so does a name
+that no test has.
+"""
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import settings
 
+from tests.known_red import KnownRedError, missing, parse
+
 settings.register_profile("same", derandomize=True, deadline=None, database=None)
 settings.load_profile("same")
+
+KNOWN_RED = pytest.StashKey[dict[str, str]]()
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    file = config.rootpath / "KNOWN-RED.txt"
+    try:
+        config.stash[KNOWN_RED] = parse(file.read_text()) if file.exists() else {}
+    except KnownRedError as error:
+        raise pytest.UsageError(f"{file.name}: {error}") from None
+
+
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    known = config.stash[KNOWN_RED]
+    for item in items:
+        if item.nodeid in known:
+            # Strict: one that passes is a failure.
+            item.add_marker(pytest.mark.xfail(reason=known[item.nodeid], strict=True))
+    chosen = config.args_source is pytest.Config.ArgsSource.ARGS or config.option.keyword
+    if not chosen and (absent := missing(known, (item.nodeid for item in items))):
+        raise pytest.UsageError(f"KNOWN-RED.txt names tests that are not there: {', '.join(absent)}")
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
+    for name, reason in config.stash[KNOWN_RED].items():
+        terminalreporter.write_line(f"known red: {name}: {reason}")
