--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 """The same verdict every time: hypothesis draws the same examples and watches no clock.
 
-Tests that ``KNOWN-RED.txt`` names are run and expected to fail; one that passes fails the run, and so does a name
-that no test has.
+Tests that ``KNOWN-RED.txt`` names are run and expected to fail; one that passes fails the run, and so does a
+name that no test has.
 """
 
 from __future__ import annotations
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,7 +1,7 @@
 """Reads ``KNOWN-RED.txt``: tests that fail for a real fault that is not mended yet, one line each.
 
-A line is ``test | cause | issue``; the test is named as pytest names it, from the root. At most ``MOST`` lines.
-The file may be absent.
+A line is ``test | cause | issue``; the test is named as pytest names it, from the root. At most ``MOST``
+lines. The file may be absent.
 """
 
 from __future__ import annotations
