Carry out the other orders of an event when one of them fails

Gateway._feed lost whatever came behind an order that raised, so one connection's exception could take the answers of others along. No holder is known to raise; the test forces one and fails on the commit before.

--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -327,7 +327,10 @@
         try:
             while self._events:
                 for action in self._handle(self._events.popleft()):
-                    self._order(action)
+                    try:
+                        self._order(action)
+                    except Exception:  # guards the other orders, and whom they would answer
+                        log.exception("an order failed: %r", action)
         finally:
             self._feeding = False
 
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -28,7 +28,7 @@
 from ironmill.net.sockets import CHUNK, Stream, TimedOutError
 from ironmill.routing_table import Routing
 from stonegap.balance import Balancer
-from stonegap.interface import Carried, Ended, Event, Outcome, Request, Scope
+from stonegap.interface import Carried, Ended, Event, Outcome, Refuse, Request, Scope, TimerFired
 from tests.helpers import KEYED, SAFE, SETTINGS, UNSAFE
 from tests.test_net import ONE, OPEN, Town, answer, pace, read_line
 
@@ -596,3 +596,29 @@
 
     Town().run(story)
     assert len(told) == 1
+
+
+def test_an_order_that_fails_does_not_take_the_others_along(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One event may bring about the answers of several clients."""
+    def story(town: Town) -> None:
+        first, second = (town.client(OPEN.replace(b"1a", name)) for name in (b"1a", b"1b"))
+        town.until(lambda: town.gateway.pending() == 2)
+        ids = list(town.gateway._authorisations)
+        orders = [Refuse(ids[0], 0.1), Refuse(ids[1], 0.1)]
+        holder = town.gateway._authorisations[ids[0]].holder
+
+        def decline(self: ClientDriver, retry_after: float) -> None:
+            if self is holder:
+                raise ZeroDivisionError
+            refuse(self, retry_after)
+
+        monkeypatch.setattr(ClientDriver, "decline", decline)
+        monkeypatch.setattr(Balancer, "handle", lambda *_: orders)
+        town.gateway._feed(TimerFired("any"))
+        monkeypatch.undo()
+        assert read_line(second) == b"BUSY 100\r\n"
+        first.close()
+        town.until(lambda: not town.admission.used())
+
+    refuse = ClientDriver.decline
+    Town(0).run(story)
