--- a/ironmill/config.py
+++ b/ironmill/config.py
@@ -70,7 +70,7 @@
         raise MalformedError(f"configuration: seed is not a hexadecimal number: {seed_text!r}") from None
     settings_tree = root.tree("settings")
     # On these sockets a standing connection brings its lines back at once however long the messages of
-    # its issuer host take, so the decisions must not count on being told of a jam.
+    # its server take, so the decisions must not count on being told of a jam.
     settings = structs.replace(settings_from(settings_tree), tells_delay=False)
     sockets = root.tree("limits", {}).number("sockets", 1024)
     if not SOCKETS_LEAST <= sockets <= SOCKETS_MOST:
--- a/ironmill/delay.py
+++ b/ironmill/delay.py
@@ -1,6 +1,6 @@
-"""How long a line sent to an issuer host takes to come back: no line on the wire tells it.
+"""How long a line sent to a server takes to come back: no line on the wire tells it.
 
-One meter for each issuer host. While the delay is over the threshold it tells of it at once and then
+One meter for each server. While the delay is over the threshold it tells of it at once and then
 once a second, on one connection; once more when it is back under. A line that is still unanswered
 counts with the time it has waited. The same lines show a connection that has gone silent.
 """
@@ -15,7 +15,7 @@
 from ironmill.timers import Timer
 
 PERIOD = 1.0  # between two tellings, and how far back answered lines count
-# A sound connection brings a line back at once, and clients send one every 2 s. A silent issuer host must be
+# A sound connection brings a line back at once, and clients send one every 2 s. A silent server must be
 # given up on within 7 s of falling silent, which is up to 2 s before the first line that is not answered.
 SILENT_AFTER = 2.5
 # Unanswered lines of one connection that are timed. Guards memory against a client that sends at full speed
@@ -35,7 +35,7 @@
 
 
 class DelayMeter:
-    """Measures one issuer host on all connections of this proxy that stand there."""
+    """Measures one server on all connections of this proxy that stand there."""
 
     def __init__(
         self,
@@ -77,7 +77,7 @@
             self._sum = 0.0
 
     def sent(self, connection: str, count: int) -> None:
-        """So many lines went to the issuer host."""
+        """So many lines went to the server."""
         lines = self._open.get(connection)
         if lines is None or count == 0:
             return
--- a/ironmill/figures.py
+++ b/ironmill/figures.py
@@ -19,7 +19,7 @@
     dropped: int = 0  # refused: trying again is harmless
     bad_gateway: int = 0  # failed
     abandoned: int = 0  # the client went before it had its answer
-    upstream_tries: int = 0  # attempts whose first line was written whole to an issuer host
+    upstream_tries: int = 0  # attempts whose first line was written whole to a server
 
     @property
     def pending(self) -> int:
@@ -62,7 +62,7 @@
             self._settle()
 
     def tried(self) -> None:
-        """An attempt was written whole to an issuer host."""
+        """An attempt was written whole to a server."""
         self._class.upstream_tries += 1
 
     def ended(self) -> None:
--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -21,7 +21,7 @@
 from ironmill.delay import DelayMeter
 from ironmill.figures import Count, Figures
 from ironmill.lifecycle import Lifecycle, State
-from ironmill.routing_table import IssuerHost, Routing, RoutingTable
+from ironmill.routing_table import Routing, RoutingTable, Server
 from ironmill.scheduler import Timers
 from ironmill.timers import Timer
 from stonegap.balance import Balancer
@@ -52,7 +52,7 @@
 ANSWER_LEAD = 0.01
 # If the decisions have said nothing by then the gateway answers for them.
 ANSWER_OVERDUE = 0.02
-# A leg begins this much sooner than the rule on draining issuer hosts would let it.
+# A leg begins this much sooner than the rule on draining servers would let it.
 DRAIN_LEAD = 0.05
 
 log = logging.getLogger("ironmill.gateway")
@@ -62,7 +62,7 @@
     """The driver of a client's connection: what the gateway orders of it. None of these may park."""
 
     def start_leg(self, leg: Leg) -> None:
-        """Open a connection to the leg's issuer host and ask there."""
+        """Open a connection to the leg's server and ask there."""
 
     def stop_leg(self) -> bool:
         """End the leg that is out, at once. True if its first line was written whole, so it may have run."""
@@ -103,8 +103,8 @@
 class Prober(Protocol):
     """The driver of probes."""
 
-    def probe(self, host: IssuerHost) -> None:
-        """Ask the issuer host for its load report; ``Gateway.probed`` is then told. Must not park."""
+    def probe(self, host: Server) -> None:
+        """Ask the server for its load report; ``Gateway.probed`` is then told. Must not park."""
 
 
 class Authorisation(Struct, eq=False):
@@ -123,11 +123,11 @@
 
 
 class Leg(Struct, eq=False):
-    """One attempt of an authorisation at one issuer host."""
+    """One attempt of an authorisation at one server."""
 
     authorisation: Authorisation
     number: int
-    host: IssuerHost
+    host: Server
     started_at: float
     timeout: float
     start_by: float = math.inf  # on the decisions' clock: begun later it could take effect a second time
@@ -173,7 +173,7 @@
         return [authorisation for authorisation in self._authorisations.values() if authorisation.standing]
 
     def known_servers(self) -> int:
-        """How many issuer hosts are in the list, the draining ones among them."""
+        """How many servers are in the list, the draining ones among them."""
         return len(self._table.listed())
 
     def skipped_servers(self) -> int:
@@ -197,8 +197,8 @@
         """Discovery answered."""
         self._feed(self._table.apply(routing, self.now()))
 
-    def issuer_host(self, uid: str) -> IssuerHost | None:
-        """The issuer host of that uid, if discovery has ever told of it."""
+    def server(self, uid: str) -> Server | None:
+        """The server of that uid, if discovery has ever told of it."""
         return self._table.by_uid(uid)
 
     def knows(self, class_name: str) -> bool:
@@ -224,9 +224,9 @@
         return authorisation
 
     def carry(
-        self, holder: Holder, host: IssuerHost, class_name: str, count: Count | None = None, **fields: Any
+        self, holder: Holder, host: Server, class_name: str, count: Count | None = None, **fields: Any
     ) -> Leg:
-        """A connection that was open before the proxy began is up again at its issuer host."""
+        """A connection that was open before the proxy began is up again at its server."""
         authorisation = self._admit(holder, 0.0, count or self.figures.take(class_name))
         authorisation.count.passed()
         authorisation.over = authorisation.standing = True
@@ -239,14 +239,14 @@
 
     def may_start(self, leg: Leg) -> bool:
         """False once it is too late for a leg's first byte: for a repeat that could take effect a second
-        time, and at an issuer host that was told to be leaving."""
+        time, and at a server that was told to be leaving."""
         if self.now() >= leg.start_by:
             return False
         since = leg.host.leaving_since
         return since is None or self.now() - since < self._config.drain_grace - DRAIN_LEAD
 
     def up(self, leg: Leg) -> bool:
-        """The issuer host took the connection; False if nobody waits for it any more."""
+        """The server took the connection; False if nobody waits for it any more."""
         authorisation = leg.authorisation
         if authorisation.over or leg.ended:
             return False
@@ -265,9 +265,9 @@
         authorisation = leg.authorisation
         authorisation.leg = None
         if outcome is Outcome.CONNECT_FAILED and self.now() >= leg.start_by:
-            outcome = Outcome.MOOT  # it came too late, and its issuer host is not to blame
+            outcome = Outcome.MOOT  # it came too late, and its server is not to blame
         if authorisation.silent and outcome is Outcome.CANCELLED:
-            outcome = Outcome.RESET  # it was the issuer host that was lost, not the client that left
+            outcome = Outcome.RESET  # it was the server that was lost, not the client that left
         if authorisation.standing:
             self._meter(leg.host).drop(authorisation.id)
         if outcome is Outcome.OK:
@@ -288,7 +288,7 @@
         self._drop(authorisation)
 
     def lines_sent(self, leg: Leg, count: int) -> None:
-        """So many of the client's lines were written to the issuer host."""
+        """So many of the client's lines were written to the server."""
         self._meter(leg.host).sent(leg.authorisation.id, count)
 
     def lines_back(self, leg: Leg, count: int) -> None:
@@ -296,9 +296,9 @@
         self._meter(leg.host).answered(leg.authorisation.id, count)
 
     def client_slow(self, leg: Leg) -> None:
-        """The client does not read, so what its issuer host answers cannot be seen.
+        """The client does not read, so what its server answers cannot be seen.
 
-        Guards a sound issuer host against being taken for slow or silent.
+        Guards a sound server against being taken for slow or silent.
         """
         self._meter(leg.host).drop(leg.authorisation.id)
 
@@ -308,10 +308,10 @@
             self._meter(leg.host).add(leg.authorisation.id)
 
     def load(self, leg: Leg, value: float) -> None:
-        """The issuer host told the connection's load."""
+        """The server told the connection's load."""
         self._feed(Note(leg.authorisation.id, leg.number, leg.host.number, NoteKind.LOAD, value))
 
-    def probed(self, host: IssuerHost, outcome: Outcome, report: tuple[tuple[str, float], ...] = ()) -> None:
+    def probed(self, host: Server, outcome: Outcome, report: tuple[tuple[str, float], ...] = ()) -> None:
         """A probe's answer came, or none did."""
         self._count(f"probe {outcome.name}")
         self._feed(Probed(host.number, outcome, report))
@@ -449,7 +449,7 @@
         self._timers.cancel(authorisation.deadline)
         authorisation.deadline = None
 
-    def _meter(self, host: IssuerHost) -> DelayMeter:
+    def _meter(self, host: Server) -> DelayMeter:
         meter = self._meters.get(host.number)
         if meter is None:
             meter = self._meters[host.number] = DelayMeter(
@@ -460,14 +460,14 @@
             )
         return meter
 
-    def _delayed(self, id_: str, host: IssuerHost, delay: float) -> None:
+    def _delayed(self, id_: str, host: Server, delay: float) -> None:
         authorisation = self._authorisations.get(id_)
         if authorisation is not None and authorisation.leg is not None:
             number = authorisation.leg.number
             self._feed(Note(id_, number, host.number, NoteKind.DELAY, delay * 1000.0))
 
     def _silent(self, id_: str) -> None:
-        """Nothing has come back for long: the issuer host's machine may have vanished without a word."""
+        """Nothing has come back for long: the server's machine may have vanished without a word."""
         authorisation = self._authorisations.get(id_)
         if authorisation is not None and authorisation.standing:
             self._count("silent")
--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -19,7 +19,7 @@
 from ironmill.config import Config
 from ironmill.figures import Count
 from ironmill.gateway import Authorisation, Gateway, Leg
-from ironmill.net.issuer_host import Dial, LegDriver, LegEnd
+from ironmill.net.server import Dial, LegDriver, LegEnd
 from ironmill.net.sockets import Stream, TimedOutError
 from ironmill.protocol.client import (
     Asked,
@@ -36,8 +36,8 @@
     Shown,
     parse_first_line,
 )
-from ironmill.protocol.issuer_host import Relayed
 from ironmill.protocol.lines import END
+from ironmill.protocol.server import Relayed
 from ironmill.scheduler import Scheduler, Task
 from stonegap.interface import Outcome
 
@@ -49,7 +49,7 @@
 GENTLE = 1.0  # for the other side to take its last line and end as well
 REFUSED_WAIT = 0.2  # the same, where the client was turned away
 MOVE_WAIT = 0.9  # for the line under way to end; the client must not wait longer for its MOVE
-HALF_CLOSED_WAIT = 6.0  # for an issuer host to end once its client has
+HALF_CLOSED_WAIT = 6.0  # for a server to end once its client has
 CARRY_WAIT = 38.0  # for a connection that was open before the run to be up again
 CARRY_PAUSE = 0.25
 RETRY_FULL = 0.5  # what a client is told when no descriptor is left for it
@@ -334,7 +334,7 @@
         return fields if self._guest is None else fields | {"tenant": self._guest.tenant}
 
     def _onward(self, onward: Onward) -> None:
-        """Bytes to the issuer host. Reading waits meanwhile, so no more than a chunk is ever held."""
+        """Bytes to the server. Reading waits meanwhile, so no more than a chunk is ever held."""
         driver, leg = self._driver, self._leg
         if not onward.data or driver is None or driver.stream is None or leg is None:
             return
@@ -348,7 +348,7 @@
         self._gateway.lines_sent(leg, onward.lines)
 
     def _client_gone(self, reset: bool) -> None:
-        """The client is gone; its issuer host is told in the same way. Called in either task."""
+        """The client is gone; its server is told in the same way. Called in either task."""
         self._side.close()
         if self._authorisation is not None:
             self._gateway.left(self._authorisation)
@@ -437,7 +437,7 @@
     def _still_there(self) -> bool:
         """False if the client has gone, which is then dealt with. Asked last of all before an attempt begins.
 
-        Guards issuer hosts against work for nobody: who left while its connection waited to be accepted has
+        Guards servers against work for nobody: who left while its connection waited to be accepted has
         sent its end behind its first line, and the attempt would be written before that end is read.
         """
         if self._stream.ended():
@@ -446,10 +446,10 @@
         return True
 
     def _carry(self, first: FirstLine) -> None:
-        """A connection that was open before the run goes back to the issuer host that holds it."""
+        """A connection that was open before the run goes back to the server that holds it."""
         deadline = time.monotonic() + CARRY_WAIT
         while time.monotonic() < deadline:
-            host = self._gateway.issuer_host(first.fields["at"])
+            host = self._gateway.server(first.fields["at"])
             if host is not None:
                 self._driver = LegDriver(self._dial, first.raw)
                 left = deadline - time.monotonic()
@@ -475,7 +475,7 @@
             driver.close()
             return False
         if self._leg is None:
-            host = self._gateway.issuer_host(first.fields["at"])
+            host = self._gateway.server(first.fields["at"])
             assert host is not None
             self._leg = self._gateway.carry(
                 self, host, first.fields["c"], self._count, **self._request_fields(first)
@@ -494,7 +494,7 @@
         return True
 
     def leg_data(self, relayed: Relayed) -> bool:
-        """Bytes to the client. Reading from the issuer host waits meanwhile."""
+        """Bytes to the client. Reading from the server waits meanwhile."""
         if self._leg is not None:
             self._gateway.lines_back(self._leg, relayed.answers)
             for load in relayed.loads:
@@ -506,7 +506,7 @@
         return True
 
     def leg_over(self, driver: LegDriver, end: LegEnd) -> None:
-        """The issuer host has ended it: the client's side ends in the same way, or the next leg follows."""
+        """The server has ended it: the client's side ends in the same way, or the next leg follows."""
         leg = self._leg
         if not end.stood:
             if leg is None:
--- a/ironmill/net/discovery.py
+++ b/ironmill/net/discovery.py
@@ -22,7 +22,7 @@
 # For all of a call beyond that, from its connect to the last byte of its answer. Guards the watch against an
 # answer that drips or never ends; after 2 s what it had to tell counts as told.
 ANSWER_WAIT = CALL_MOST
-# A whole list that names nobody, where there were issuer hosts a moment before, is more likely a fault of
+# A whole list that names nobody, where there were servers a moment before, is more likely a fault of
 # discovery than the truth, and is asked for once more before it is believed. Not for longer: it has told that
 # all are gone, and from 250 ms after that (less 50 ms of the gateway's own) nothing new may go to them.
 # The rule counts from the first answer, so what is opened meanwhile still has 0.1 s to begin.
@@ -39,7 +39,7 @@
 
 
 def _none() -> int:
-    """No issuer host is known."""
+    """No server is known."""
     return 0
 
 
@@ -53,7 +53,7 @@
     ) -> None:
         """``known`` is the revision of the list that serves until an answer comes, if there is one.
 
-        ``called`` is told whenever a call was answered or has failed; ``held`` tells how many issuer hosts
+        ``called`` is told whenever a call was answered or has failed; ``held`` tells how many servers
         are in the list at hand.
         """
         self._scheduler = scheduler
--- a/ironmill/net/probe.py
+++ b/ironmill/net/probe.py
@@ -1,4 +1,4 @@
-"""The driver of probes: asks issuer hosts for their load reports, on one connection to each."""
+"""The driver of probes: asks servers for their load reports, on one connection to each."""
 
 from __future__ import annotations
 
@@ -6,43 +6,43 @@
 from collections.abc import Callable
 from functools import partial
 
-from ironmill.net.issuer_host import Dial
+from ironmill.net.server import Dial
 from ironmill.net.sockets import EXHAUSTED, Stream, TimedOutError
-from ironmill.protocol.issuer_host import ProbeSide, Report
-from ironmill.routing_table import IssuerHost
+from ironmill.protocol.server import ProbeSide, Report
+from ironmill.routing_table import Server
 from ironmill.scheduler import Scheduler
 from stonegap.interface import Outcome
 
 ANSWER_WAIT = 0.5
 # Connections kept for probes. Guards the descriptors, of which ``admission.OWN`` sets so many aside: one to
-# each of 90 issuer hosts was more than all of those. The one that was used longest ago gives way.
+# each of 90 servers was more than all of those. The one that was used longest ago gives way.
 KEPT_MOST = 20
 
 
 class ProbeDriver:
-    """Keeps a connection to each issuer host that is asked; a broken one is made anew when next asked."""
+    """Keeps a connection to each server that is asked; a broken one is made anew when next asked."""
 
     def __init__(
         self,
         scheduler: Scheduler,
         connect_timeout: float,
-        tell: Callable[[IssuerHost, Outcome, Report], None],
+        tell: Callable[[Server, Outcome, Report], None],
         dial: Dial | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._dial = dial or partial(Stream.connect, scheduler)
         self._connect_timeout = connect_timeout
         self._tell = tell
-        self._streams: dict[int, Stream] = {}  # by issuer host, the one used longest ago first
+        self._streams: dict[int, Stream] = {}  # by server, the one used longest ago first
         self._asking: set[int] = set()
 
-    def probe(self, host: IssuerHost) -> None:
-        """Ask in a task of its own; while one question is out no second goes to the same issuer host."""
+    def probe(self, host: Server) -> None:
+        """Ask in a task of its own; while one question is out no second goes to the same server."""
         if host.number not in self._asking:
             self._asking.add(host.number)
             self._scheduler.spawn(self._run, host)
 
-    def _run(self, host: IssuerHost) -> None:
+    def _run(self, host: Server) -> None:
         report: Report = ()
         try:
             outcome, report = self._ask(host)
@@ -56,10 +56,10 @@
             self._hang_up(host)
         self._tell(host, outcome, report)
 
-    def _ask(self, host: IssuerHost) -> tuple[Outcome, Report]:
+    def _ask(self, host: Server) -> tuple[Outcome, Report]:
         stream = self._streams.pop(host.number, None)
         if stream is not None and (stream.ended() or stream.has_unread()):
-            # Guards a sound issuer host against blame for a connection that it closed as idle, and the report
+            # Guards a sound server against blame for a connection that it closed as idle, and the report
             # against a second answer to an earlier question.
             stream.close()
             stream = None
@@ -90,7 +90,7 @@
                 return answer
         return Outcome.RESET, ()
 
-    def _hang_up(self, host: IssuerHost) -> None:
+    def _hang_up(self, host: Server) -> None:
         stream = self._streams.pop(host.number, None)
         if stream is not None:
             stream.close()
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -37,7 +37,7 @@
     from ironmill.operator import Operator
 
 # Clients wait so long at the most for the first answer of discovery, seconds. Guards the rule on draining
-# issuer hosts: what the agent holds counts as told from the process's start, 0.25 s before. Of 132 proxies
+# servers: what the agent holds counts as told from the process's start, 0.25 s before. Of 132 proxies
 # that started together four sent by the list they were started with. A silent agent has nothing to tell.
 FIRST_ANSWER_WAIT = 0.5
 # The same where another process serves at the address meanwhile: it has 6 s, and what discovery told counts
@@ -179,7 +179,7 @@
         ).start()
 
     def _dial(self, address: Address, timeout: float) -> Stream:
-        """A connection to an issuer host, with TLS on it where the settings of now ask for that."""
+        """A connection to a server, with TLS on it where the settings of now ask for that."""
         stream = Stream.connect(self.scheduler, address, timeout)
         operator = self._operator
         if operator is None or operator.upstream is None or operator.settings.upstream is None:
--- a/ironmill/net/issuer_host.py
+++ b/ironmill/net/server.py
@@ -1,4 +1,4 @@
-"""The driver of one leg: connects, asks, and reads what the issuer host sends until the end."""
+"""The driver of one leg: connects, asks, and reads what the server sends until the end."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from ironmill.net.sockets import Stream, TimedOutError
-from ironmill.protocol.issuer_host import Declined, IssuerHostSide, LegEvent, Relayed, Report, Up
+from ironmill.protocol.server import Declined, LegEvent, Relayed, Report, ServerSide, Up
 from ironmill.scheduler import Task
 from stonegap.interface import Outcome
 
@@ -40,7 +40,7 @@
         """Bytes for the client. Parks until they are written; False if the client is gone."""
 
     def leg_over(self, driver: LegDriver, end: LegEnd) -> None:
-        """The issuer host has ended the leg, or it never stood."""
+        """The server has ended the leg, or it never stood."""
 
 
 # Connects to an address within so many seconds. What comes before the first byte is the stream's ``shake``.
@@ -57,7 +57,7 @@
 
     def __init__(self, dial: Dial, first_line: bytes) -> None:
         self._dial = dial
-        self.side = IssuerHostSide(first_line)
+        self.side = ServerSide(first_line)
         self.stream: Stream | None = None
         self.task: Task | None = None  # relays, or waits for what there is to relay
 
--- a/ironmill/operator.py
+++ b/ironmill/operator.py
@@ -25,7 +25,7 @@
     settings: OperatorSettings
     ring: KeyRing | None = None  # there if the settings hold an identity
     tls: ServerTls | None = None  # there if the settings hold a listener for TLS
-    upstream: ssl.SSLContext | None = None  # there if the settings ask for TLS to issuer hosts
+    upstream: ssl.SSLContext | None = None  # there if the settings ask for TLS to servers
     member_keys: tuple[bytes, ...] = ()  # there if the settings hold a membership
 
 
--- a/ironmill/pace.py
+++ b/ironmill/pace.py
@@ -21,7 +21,7 @@
 CALL_MOST = 1.0
 SPARE = 0.25  # for late turns of a busy process, and for the news to go through the decisions
 # However many proxies there are. The worst case: a call that began just before discovery could be reached
-# comes to nothing, then the pause, then the call that tells. Guards the rule on draining issuer hosts: 200
+# comes to nothing, then the pause, then the call that tells. Guards the rule on draining servers: 200
 # proxies that went by their number alone would let 10.7 s pass between two calls.
 PAUSE_MOST = TOLD_AFTER - 2.0 * CALL_MOST - SPARE
 # A pause is drawn from this part of the longest up to all of it. Guards discovery: 200 proxies whose pauses
--- a/ironmill/protocol/client.py
+++ b/ironmill/protocol/client.py
@@ -83,7 +83,7 @@
 
 
 class Onward(Struct, frozen=True):
-    """Bytes for the issuer host, and how many lines they complete."""
+    """Bytes for the server, and how many lines they complete."""
 
     data: bytes
     lines: int
@@ -157,7 +157,7 @@
                 first = parse_first_line(line)
             except MalformedLineError as error:
                 return [*events, self._malformed(str(error))]
-            # Packets of a connection that is open at an issuer host already may be on their way.
+            # Packets of a connection that is open at a server already may be on their way.
             self._may_be_early = first.fields.get("mid") == "1" or "at" in first.fields
             self._early = b"".join(early + END for early in lines) + self._lines.take_rest()
             self.state = ClientState.WAITING
@@ -166,7 +166,7 @@
         return events
 
     def _early_bytes(self) -> list[ClientEvent]:
-        """A client waits for its answer. Guards the issuer hosts and memory against one that does not."""
+        """A client waits for its answer. Guards the servers and memory against one that does not."""
         if not self._early or (self._may_be_early and len(self._early) <= HELD_LIMIT):
             return []
         return [self._malformed("more came before the answer to the first line")]
@@ -176,7 +176,7 @@
         return Malformed(reason)
 
     def stand(self) -> Onward:
-        """The issuer host took the connection. What the client sent early goes on first."""
+        """The server took the connection. What the client sent early goes on first."""
         self.state = ClientState.STANDING
         self._lines = Lines(strict=False)
         early, self._early = self._early, b""
--- a/ironmill/protocol/issuer_host.py
+++ b/ironmill/protocol/server.py
@@ -1,4 +1,4 @@
-"""An issuer host's side of one leg as a state machine: what is written and what comes back."""
+"""A server's side of one leg as a state machine: what is written and what comes back."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class Declined(Struct, frozen=True):
-    """The issuer host gave another answer than UP."""
+    """The server gave another answer than UP."""
 
     outcome: Outcome
     line: bytes
@@ -87,7 +87,7 @@
         return (Outcome.OK if word == b"PONG" else Outcome.ERROR), parse_report(rest)
 
 
-class IssuerHostSide:
+class ServerSide:
     """What one leg has written and read."""
 
     __slots__ = ("_lines", "_parting", "_raw", "report", "state", "stood", "unwritten")
@@ -119,7 +119,7 @@
         return self.unwritten
 
     def receive(self, data: bytes) -> list[LegEvent]:
-        """The issuer host sent these bytes."""
+        """The server sent these bytes."""
         if self.state is LegState.STANDING:
             return [self._relay(data)]
         if self.state is LegState.OVER:
--- a/ironmill/routing_table.py
+++ b/ironmill/routing_table.py
@@ -1,4 +1,4 @@
-"""The routing table: discovery's list of issuer hosts, and what its changes mean to the decisions."""
+"""The routing table: discovery's list of servers, and what its changes mean to the decisions."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class Listed(Struct, frozen=True):
-    """One issuer host as discovery lists it."""
+    """One server as discovery lists it."""
 
     uid: str
     host: str
@@ -56,8 +56,8 @@
     return Routing(int(tree.number("rev")), tree.flag("all", False), tuple(listed))
 
 
-class IssuerHost(Struct):
-    """What is held of one issuer host. It stays known once it has been told, also after it left."""
+class Server(Struct):
+    """What is held of one server. It stays known once it has been told, also after it left."""
 
     number: int
     uid: str
@@ -67,12 +67,12 @@
 
 
 class RoutingTable:
-    """Numbers for uids, endpoints, and the age of what was told of a leaving issuer host."""
+    """Numbers for uids, endpoints, and the age of what was told of a leaving server."""
 
     def __init__(self) -> None:
         self.revision = 0
-        self._by_uid: dict[str, IssuerHost] = {}
-        self._by_number: dict[int, IssuerHost] = {}
+        self._by_uid: dict[str, Server] = {}
+        self._by_number: dict[int, Server] = {}
 
     def apply(self, routing: Routing, now: float) -> ListChanged:
         """Take in an answer; what it means to the decisions."""
@@ -88,24 +88,24 @@
                     self._leave(host, now)
         return ListChanged(ListKind.FULL if routing.full else ListKind.DELTA, entries)
 
-    def listed(self) -> list[IssuerHost]:
-        """The issuer hosts in the list, the draining ones among them."""
+    def listed(self) -> list[Server]:
+        """The servers in the list, the draining ones among them."""
         return [host for host in self._by_uid.values() if host.listed]
 
-    def by_uid(self, uid: str) -> IssuerHost | None:
-        """The issuer host of that uid, if it has ever been told."""
+    def by_uid(self, uid: str) -> Server | None:
+        """The server of that uid, if it has ever been told."""
         return self._by_uid.get(uid)
 
-    def by_number(self, number: int) -> IssuerHost | None:
-        """The issuer host that the decisions know by this number."""
+    def by_number(self, number: int) -> Server | None:
+        """The server that the decisions know by this number."""
         return self._by_number.get(number)
 
     def _entry(self, listed: Listed, now: float) -> Entry:
         address = (listed.host, listed.port)
         host = self._by_uid.get(listed.uid)
         if host is None:
-            log.info("issuer host %s: first told, %s", listed.uid, listed.stage.value)
-            host = IssuerHost(self._number(listed.uid), listed.uid, address)
+            log.info("server %s: first told, %s", listed.uid, listed.stage.value)
+            host = Server(self._number(listed.uid), listed.uid, address)
             self._by_uid[listed.uid] = self._by_number[host.number] = host
         host.address = address
         host.listed = listed.stage is not Stage.GONE
@@ -123,7 +123,7 @@
         return number
 
     @staticmethod
-    def _leave(host: IssuerHost, now: float) -> None:
+    def _leave(host: Server, now: float) -> None:
         if host.leaving_since is None:
-            log.info("issuer host %s: leaves", host.uid)
+            log.info("server %s: leaves", host.uid)
             host.leaving_since = now
--- a/ironmill/settings/model.py
+++ b/ironmill/settings/model.py
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamTls:
-    """TLS to issuer hosts. Paths are whole."""
+    """TLS to servers. Paths are whole."""
 
     authorities: str
     name: str = ""  # that their certificates are for; empty: the address that discovery tells
--- a/ironmill/staff.py
+++ b/ironmill/staff.py
@@ -20,7 +20,7 @@
     figures: Figures
 
     def known_servers(self) -> int:
-        """How many issuer hosts are in the list."""
+        """How many servers are in the list."""
 
     def skipped_servers(self) -> int:
         """How many of those get nothing new now."""
--- a/ironmill/tls_context.py
+++ b/ironmill/tls_context.py
@@ -23,7 +23,7 @@
 
 
 def upstream_tls(settings: UpstreamTls) -> ssl.SSLContext:
-    """The context to issuer hosts; MalformedError, one line, where a file will not do."""
+    """The context to servers; MalformedError, one line, where a file will not do."""
     _bytes(settings.authorities)
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
--- a/ironmill_lab/__main__.py
+++ b/ironmill_lab/__main__.py
@@ -20,7 +20,7 @@
   --quick        Smaller sizes: done within a minute.
   --poller=NAME  What the proxy waits with: epoll or poll [default: epoll].
   --program=DIR  Measure the proxy of another checkout, found in this folder.
-  --hosts=N      How many issuer hosts are emulated [default: 6].
+  --hosts=N      How many servers are emulated [default: 6].
   --target=HOST:PORT  Where a floor sends all lines on to.
   -h --help      Show this text.
 
--- a/ironmill_lab/demo.py
+++ b/ironmill_lab/demo.py
@@ -1,6 +1,6 @@
 """The demonstration: one proxy among emulated neighbours, told as it goes.
 
-An issuer host drains, the proxy is started again, a new version takes over beside it, and staff drain it.
+A server drains, the proxy is started again, a new version takes over beside it, and staff drain it.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
             address = ("127.0.0.1", free_port())
             value = proxy_config("demo", address, neighbours.discovery, SOCKETS, platform_settings())
             config = _at_control(folder, value)
-            print(f"discovery and {HOSTS} emulated issuer hosts are up")
+            print(f"discovery and {HOSTS} emulated servers are up")
             with ProxyProcess(config, folder, more=more) as proxy:
                 proxy.wait_ready()
                 scheduler = Scheduler()
@@ -94,7 +94,7 @@
         self._until(DRAIN_AT)
         told = self._neighbours.ask("drain", DRAINED)
         held = next(host["standing"] for host in told["hosts"] if host["uid"] == DRAINED)
-        self._say(f"issuer host {DRAINED} drains, {held} connections stand there")
+        self._say(f"server {DRAINED} drains, {held} connections stand there")
         self._until(RESTART_AT)
         self._restart()
         self._until(UPGRADE_AT)
@@ -177,7 +177,7 @@
         print("\nin the end")
         for field, value in zip(fields(FleetCounts), astuple(counts), strict=True):
             print(f"  {field.name:<11} {value:>6}")
-        print(f"  {'sent late':<11} {late:>6}   to the draining issuer host, beyond 250 ms")
+        print(f"  {'sent late':<11} {late:>6}   to the draining server, beyond 250 ms")
         for host in told["hosts"]:
             print(f"  {host['uid']}: took {host['opened']} connections, sent away {host['moved']} by itself")
         good = late + counts.unanswered + counts.lost + counts.failed == 0
--- a/ironmill_lab/discovery.py
+++ b/ironmill_lab/discovery.py
@@ -1,4 +1,4 @@
-"""An emulated discovery: the list of issuer hosts over HTTP/1.1, whole or as a watch on its changes."""
+"""An emulated discovery: the list of servers over HTTP/1.1, whole or as a watch on its changes."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
         return self._listener.address
 
     def put(self, uid: str, address: tuple[str, int], zone: str, state: str, boot: float = 0.0) -> None:
-        """List the issuer host in this state: ``up``, ``draining`` or ``removed``; its boot as Unix time."""
+        """List the server in this state: ``up``, ``draining`` or ``removed``; its boot as Unix time."""
         self.revision += 1
         self._changed[uid] = self.revision
         self._targets[uid] = {
--- a/ironmill_lab/emulate.py
+++ b/ironmill_lab/emulate.py
@@ -1,4 +1,4 @@
-"""The process of the emulated neighbours: issuer hosts and discovery, told what to do in JSON lines.
+"""The process of the emulated neighbours: servers and discovery, told what to do in JSON lines.
 
 It reads one command a line from standard input, ``["drain", "s-2"]`` for one, and writes one line with the
 answer. It ends when its input does, so it never outlives the process that started it.
@@ -22,7 +22,7 @@
 
 
 class Neighbourhood:
-    """Issuer hosts ``s-0`` and so on, listed by one discovery."""
+    """Servers ``s-0`` and so on, listed by one discovery."""
 
     def __init__(self, scheduler: Scheduler, hosts: int) -> None:
         self._scheduler = scheduler
@@ -32,7 +32,7 @@
             self.add(f"s-{at}")
 
     def add(self, uid: str, boot: float = 0.0) -> None:
-        """One more issuer host, listed as up."""
+        """One more server, listed as up."""
         host = EmulatedHost(self._scheduler, uid, ZONES[len(self.hosts) % len(ZONES)])
         self.hosts[uid] = host
         self.discovery.put(uid, host.address, host.zone, "up", boot)
@@ -51,7 +51,7 @@
         self.discovery.put(host.uid, host.address, host.zone, "removed")
 
     def told(self) -> dict[str, Any]:
-        """What the issuer hosts have seen."""
+        """What the servers have seen."""
         return {
             "discovery": self.discovery.address, "asked": self.discovery.asked,
             "hosts": [host.told() for host in self.hosts.values()],
--- a/ironmill_lab/fleet.py
+++ b/ironmill_lab/fleet.py
@@ -34,7 +34,7 @@
         self._lines = Lines()
         self._came: list[bytes] = []
         self.stream: Stream | None = None
-        self.host = ""  # the issuer host that took it, as its UP line told
+        self.host = ""  # the server that took it, as its UP line told
 
     def open(
         self, wait: float = 2.0, fields: Mapping[str, object] = MappingProxyType({}), token: bytes = b""
--- a/ironmill_lab/hosts.py
+++ b/ironmill_lab/hosts.py
@@ -1,4 +1,4 @@
-"""Emulated issuer hosts that speak the line protocol.
+"""Emulated servers that speak the line protocol.
 
 One class, ``EmulatedHost``: it takes connections, echoes their lines, answers probes, drains with ``MOVE``
 and counts what it saw. It is fast rather than true to life: nothing it does takes time of its own.
@@ -24,7 +24,7 @@
 
 @dataclass(slots=True)
 class HostCounts:
-    """What an emulated issuer host has seen."""
+    """What an emulated server has seen."""
 
     opened: int = 0  # connections that were given UP
     turned_away: int = 0
@@ -38,7 +38,7 @@
 
 
 class EmulatedHost:
-    """One issuer host on a port of its own."""
+    """One server on a port of its own."""
 
     def __init__(self, scheduler: Scheduler, uid: str, zone: str, seed: int = 1) -> None:
         self._scheduler = scheduler
--- a/ironmill_lab/processes.py
+++ b/ironmill_lab/processes.py
@@ -88,7 +88,7 @@
         self.discovery: tuple[str, int] = tuple(self.ask("told")["discovery"])
 
     def ask(self, word: str, *args: object) -> dict[str, Any]:
-        """Give a command and wait for the answer, which tells what all issuer hosts have seen."""
+        """Give a command and wait for the answer, which tells what all servers have seen."""
         assert self.popen.stdin is not None
         assert self.popen.stdout is not None
         self.popen.stdin.write(orjson.dumps([word, *args]) + b"\n")
--- a/ironmill_lab/settings.py
+++ b/ironmill_lab/settings.py
@@ -35,7 +35,7 @@
 def proxy_config(
     name: str, listen: Address, discovery: Address, sockets: int, settings: dict[str, Any]
 ) -> dict[str, Any]:
-    """The configuration file's object of one proxy that knows no issuer host yet."""
+    """The configuration file's object of one proxy that knows no server yet."""
     return {
         "name": name,
         "listen": f"{listen[0]}:{listen[1]}",
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -32,7 +32,7 @@
     leg.close()
 
 
-def ended_by_the_issuer_host(town: Town) -> None:
+def ended_by_the_server(town: Town) -> None:
     client, leg = town.pair()
     leg.send(b"BYE\r\n")
     leg.close_gently(1.0)
@@ -86,7 +86,7 @@
 
 
 @pytest.mark.parametrize(
-    "story", [served, ended_by_the_issuer_host, moved, broken, turned_away, declined, left]
+    "story", [served, ended_by_the_server, moved, broken, turned_away, declined, left]
 )
 def test_a_connection_leaves_no_cycle_behind(story: Callable[[Town], None]) -> None:
     seen: set[str] = set()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -180,7 +180,7 @@
     assert holder.answers == ["ERR"]
 
 
-def test_a_leg_may_not_start_late_on_a_leaving_issuer_host(timers: FakeTimers) -> None:
+def test_a_leg_may_not_start_late_on_a_leaving_server(timers: FakeTimers) -> None:
     """Guards the drain rule for a leg that was ordered in time but is slow to connect."""
     gateway, holder = Gateway(config(Routing(1, True, (listed("s-1"),))), timers), FakeHolder()
     gateway.authorise(holder, "read", 1.0, gateway.now())
@@ -198,14 +198,14 @@
     assert not gateway.may_start(leg)
 
 
-def test_a_carried_connection_is_told_also_at_a_retired_issuer_host(
+def test_a_carried_connection_is_told_also_at_a_retired_server(
     timers: FakeTimers, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     gateway, fed = Gateway(config(), timers), list[Event]()
     gateway.routing(Routing(2, True, (listed("s-2"),)))
     handle = Balancer.handle
     monkeypatch.setattr(Balancer, "handle", lambda b, e, now: fed.append(e) or handle(b, e, now))
-    host = gateway.issuer_host("s-1")
+    host = gateway.server("s-1")
     assert host is not None
     leg = gateway.carry(FakeHolder(), host, "read", key=5)
     gateway.ended(leg, Outcome.OK)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -48,7 +48,7 @@
     play(scheduler, story, 30.0)
 
 
-def test_an_emulated_issuer_host_echoes_drains_and_counts() -> None:
+def test_an_emulated_server_echoes_drains_and_counts() -> None:
     scheduler = Scheduler()
     host = Neighbourhood(scheduler, 1).hosts["s-0"]
 
@@ -79,7 +79,7 @@
     assert (counts.probes, counts.malformed, host.standing) == (1, 1, 0)
 
 
-def test_a_fleet_is_moved_off_a_draining_issuer_host_and_nothing_is_lost(tmp_path: Path) -> None:
+def test_a_fleet_is_moved_off_a_draining_server_and_nothing_is_lost(tmp_path: Path) -> None:
     with Neighbours(tmp_path, 3) as neighbours:
         config = proxy_config(
             "p", ("127.0.0.1", free_port()), neighbours.discovery, 1024, platform_settings()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,4 +1,4 @@
-"""The drivers on loopback sockets, against issuer hosts and clients that the tests play."""
+"""The drivers on loopback sockets, against servers and clients that the tests play."""
 
 from __future__ import annotations
 
@@ -23,8 +23,8 @@
 from ironmill.net import shutdown as shutdown_module
 from ironmill.net.client import ClientDriver
 from ironmill.net.discovery import Discovery
-from ironmill.net.issuer_host import Dial
 from ironmill.net.listener import Listener
+from ironmill.net.server import Dial
 from ironmill.net.shutdown import Shutdown, plan
 from ironmill.net.signals import Signals
 from ironmill.net.sockets import CHUNK, Stream, TimedOutError
@@ -38,7 +38,7 @@
 
 
 class Town:
-    """One proxy with issuer hosts that the test plays. Waits end the test after some seconds."""
+    """One proxy with servers that the test plays. Waits end the test after some seconds."""
 
     def __init__(self, hosts: int = 1, **changes: Any) -> None:
         self.scheduler = Scheduler()
@@ -92,7 +92,7 @@
         return stream
 
     def leg(self) -> Stream:
-        """The next connection that comes to an issuer host."""
+        """The next connection that comes to a server."""
         self.until(lambda: bool(self.arrived))
         return self.arrived.pop(0)
 
@@ -104,7 +104,7 @@
         raise AssertionError("it did not come to pass")
 
     def pair(self) -> tuple[Stream, Stream]:
-        """A client whose connection stands, and its issuer host's end."""
+        """A client whose connection stands, and its server's end."""
         client = self.client(OPEN)
         leg = self.leg()
         read_line(leg)
@@ -377,7 +377,7 @@
     Town().run(story)
 
 
-def test_a_silent_issuer_host_is_given_up_and_its_client_moved(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_silent_server_is_given_up_and_its_client_moved(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against machines that vanish: no end ever comes from them."""
     monkeypatch.setattr("ironmill.delay.SILENT_AFTER", 0.2)
 
@@ -418,7 +418,7 @@
     Town().run(story)
 
 
-def test_a_client_that_does_not_read_is_not_taken_for_a_silent_issuer_host(
+def test_a_client_that_does_not_read_is_not_taken_for_a_silent_server(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr("ironmill.delay.SILENT_AFTER", 0.6)
@@ -454,7 +454,7 @@
     Town().run(story)
 
 
-def test_a_connection_open_before_the_run_goes_back_to_its_issuer_host() -> None:
+def test_a_connection_open_before_the_run_goes_back_to_its_server() -> None:
     def story(town: Town) -> None:
         at = b"OPEN 1a 2b c=read,d=900,at=s-1\r\n"
         client = town.client(at)
@@ -519,7 +519,7 @@
 
 @pytest.mark.parametrize("again", ["named", "empty", "partly", "silent", "broken"])
 def test_a_list_that_names_nobody_is_asked_for_once_more(again: str) -> None:
-    """Guards the clients against a fault of discovery: an empty list retired all issuer hosts at once."""
+    """Guards the clients against a fault of discovery: an empty list retired all servers at once."""
     told: list[Routing] = []
 
     def story(town: Town) -> None:
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -237,7 +237,7 @@
         watched(it, story)
 
 
-def test_the_figures_are_what_clients_and_issuer_hosts_counted(tmp_path: Path) -> None:
+def test_the_figures_are_what_clients_and_servers_counted(tmp_path: Path) -> None:
     with site(tmp_path) as it:
         one = it.start()
         one.process.wait_ready()
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -8,8 +8,8 @@
 from ironmill.gateway import Gateway
 from ironmill.net.probe import ProbeDriver
 from ironmill.net.sockets import Stream
-from ironmill.protocol.issuer_host import ProbeSide, Report
-from ironmill.routing_table import IssuerHost
+from ironmill.protocol.server import ProbeSide, Report
+from ironmill.routing_table import Server
 from stonegap.balance import GROUP_LESS, OUT_AFTER, PROBE_OVER, REPORT_MEMORY, REPORT_SAME
 from stonegap.interface import (
     Entry,
@@ -200,10 +200,10 @@
 
 
 def test_the_gateway_carries_them(timers: FakeTimers) -> None:
-    gateway, hosts = Gateway(config(), timers), list[IssuerHost]()
+    gateway, hosts = Gateway(config(), timers), list[Server]()
 
     class FakeProber:
-        def probe(self, host: IssuerHost) -> None:
+        def probe(self, host: Server) -> None:
             hosts.append(host)
             gateway.probed(host, Outcome.OK, (("x0", 0.2),))
 
@@ -230,7 +230,7 @@
 
     def story(town: Town) -> None:
         driver = ProbeDriver(town.scheduler, 0.5, lambda _, outcome, report: told.append((outcome, report)))
-        host = town.gateway.issuer_host("s-0")
+        host = town.gateway.server("s-0")
         assert host is not None
 
         def ask() -> None:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -21,8 +21,8 @@
     parse_first_line,
 )
 from ironmill.protocol.http import HttpError, ResponseParser
-from ironmill.protocol.issuer_host import Declined, IssuerHostSide, LegState, Relayed, Up, parse_report
 from ironmill.protocol.lines import LIMIT, Lines, LineTooLongError
+from ironmill.protocol.server import Declined, LegState, Relayed, ServerSide, Up, parse_report
 from stonegap.interface import Outcome
 
 FIRST = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=2000,g=5c0f6e1a2b3d4c59\r\n"
@@ -132,7 +132,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.side = IssuerHostSide(FIRST)
+        self.side = ServerSide(FIRST)
         self.left = len(FIRST)
         self.state = LegState.CONNECTING
         self.expected = Outcome.RESET  # at the end of a standing connection
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -22,8 +22,8 @@
 from ironmill.net import sockets as sockets_module
 from ironmill.net.client import ClientDriver
 from ironmill.net.discovery import Discovery
-from ironmill.net.issuer_host import LegDriver
 from ironmill.net.probe import KEPT_MOST, ProbeDriver
+from ironmill.net.server import LegDriver
 from ironmill.net.shutdown import Shutdown
 from ironmill.net.sockets import CHUNK, Stream, TimedOutError
 from ironmill.routing_table import Routing
@@ -53,7 +53,7 @@
 
 
 def instant(town: Town) -> list[Stream]:
-    """Connections to issuer hosts come up without a wait; the other ends, as they are made."""
+    """Connections to servers come up without a wait; the other ends, as they are made."""
     held: list[Stream] = []
 
     def dial(address: tuple[str, int], timeout: float) -> Stream:
@@ -494,7 +494,7 @@
     told: list[tuple[Outcome, object]] = []
 
     def story(town: Town) -> None:
-        driver, host = prober(town, told), town.gateway.issuer_host("s-0")
+        driver, host = prober(town, told), town.gateway.server("s-0")
         assert host is not None
         for _ in range(2):
             driver.probe(host)
@@ -518,7 +518,7 @@
 
     def story(town: Town) -> None:
         driver, held = prober(town, told), []
-        hosts = [host for at in range(KEPT_MOST + 3) if (host := town.gateway.issuer_host(f"s-{at}"))]
+        hosts = [host for at in range(KEPT_MOST + 3) if (host := town.gateway.server(f"s-{at}"))]
         for host in hosts:
             driver.probe(host)
             held.append(town.leg())
@@ -537,7 +537,7 @@
 def test_descriptors_that_run_out_cost_a_probe_and_a_call_of_discovery_no_more(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The issuer host is not to blame, and the watch goes on."""
+    """The server is not to blame, and the watch goes on."""
     told: list[tuple[Outcome, object]] = []
     connect, failed = Stream.connect, list[bool]()
 
@@ -548,7 +548,7 @@
         return connect(*args)  # type: ignore[arg-type]
 
     def story(town: Town) -> None:
-        host = town.gateway.issuer_host("s-0")
+        host = town.gateway.server("s-0")
         assert host is not None
         monkeypatch.setattr(Stream, "connect", full)
         prober(town, told).probe(host)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -110,7 +110,7 @@
     assert wrong in str(caught.value)
 
 
-def test_tls_to_issuer_hosts(tmp_path: Path) -> None:
+def test_tls_to_servers(tmp_path: Path) -> None:
     text = '<issuer-hosts-tls authorities="ca.pem" name="hosts.example"{}/>'
     upstream = load_settings(file(tmp_path, text.format("")), CLASSES).upstream
     assert upstream == UpstreamTls(str(tmp_path / "ca.pem"), "hosts.example")
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -39,7 +39,7 @@
 
 @pytest.fixture(autouse=True)
 def _short_ends(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Issuer hosts that the tests play do not end by themselves once their client has."""
+    """Servers that the tests play do not end by themselves once their client has."""
     monkeypatch.setattr(client_module, "HALF_CLOSED_WAIT", 0.2)
 
 
@@ -93,7 +93,7 @@
 
 
 def crosses(town: Town, data: bytes, client: Stream, leg: Stream) -> None:
-    """The data goes on unchanged, first to the issuer host and then to the client."""
+    """The data goes on unchanged, first to the server and then to the client."""
     for source, to in ((client, leg), (leg, client)):
         town.scheduler.spawn(source.send, data)
         came = b""
@@ -106,7 +106,7 @@
     town.until(lambda: not town.gateway.busy() and town.admission.used() == 0)
 
 
-def test_bytes_go_on_unchanged_both_ways_and_the_issuer_hosts_end_comes_through(authority: Authority) -> None:
+def test_bytes_go_on_unchanged_both_ways_and_the_servers_end_comes_through(authority: Authority) -> None:
     data = random.Random(3).randbytes(700_000).replace(b"\r\n", b"--") + b"\r\n"
 
     def story(town: Town) -> None:
@@ -124,7 +124,7 @@
     TlsTown(authority).run(story)
 
 
-def test_a_client_that_does_not_read_holds_its_issuer_host_back(authority: Authority) -> None:
+def test_a_client_that_does_not_read_holds_its_server_back(authority: Authority) -> None:
     """The rule on bounded buffers holds through TLS."""
     def story(town: Town) -> None:
         assert isinstance(town, TlsTown)
@@ -192,7 +192,7 @@
     TlsTown(authority).run(story)
 
 
-def test_an_issuer_host_that_breaks_breaks_the_client(authority: Authority) -> None:
+def test_a_server_that_breaks_breaks_the_client(authority: Authority) -> None:
     def story(town: Town) -> None:
         assert isinstance(town, TlsTown)
         client, leg = town.stand()
@@ -416,7 +416,7 @@
 
 
 class SecureHosts(Town):
-    """A town whose issuer hosts speak TLS, and whose proxy checks that they are ``name``."""
+    """A town whose servers speak TLS, and whose proxy checks that they are ``name``."""
 
     def __init__(self, authority: Authority, name: str) -> None:
         super().__init__()
@@ -434,7 +434,7 @@
         self.dial = dial
 
 
-def test_issuer_hosts_that_speak_tls(authority: Authority) -> None:
+def test_servers_that_speak_tls(authority: Authority) -> None:
     data = bytes(range(256)) * 1000 + b"\r\n"
 
     def story(town: Town) -> None:
@@ -455,7 +455,7 @@
     SecureHosts(authority, "localhost").run(story)
 
 
-def test_an_issuer_host_that_is_another_gets_no_line(authority: Authority) -> None:
+def test_a_server_that_is_another_gets_no_line(authority: Authority) -> None:
     def story(town: Town) -> None:
         assert isinstance(town, SecureHosts)
         client = town.client(OPEN)
@@ -469,11 +469,11 @@
     SecureHosts(authority, "other.example").run(story)
 
 
-def test_no_handshake_begins_at_an_issuer_host_that_is_leaving(authority: Authority) -> None:
+def test_no_handshake_begins_at_a_server_that_is_leaving(authority: Authority) -> None:
     """The rule on drains counts a leg's first byte, and with TLS that is the handshake's."""
     def story(town: Town) -> None:
         assert isinstance(town, SecureHosts)
-        host = town.gateway.issuer_host("s-0")
+        host = town.gateway.server("s-0")
         assert host is not None
         inner = town.dial
         assert inner is not None
