--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -1,6 +1,6 @@
 """The gateway: between the decisions and whatever protocol carries them out.
 
-It owns the ``Balancer``, the authorisations and their legs. Protocol drivers tell it what happened in
+It owns the ``Balancer``, the requests and their legs. Protocol drivers tell it what happened in
 terms of these; it feeds the decisions and turns their actions into orders to the drivers. It knows no
 socket and no line, so a second protocol is one more kind of ``Holder``.
 """
@@ -78,7 +78,7 @@
 
 
 class _Nobody:
-    """The holder of an authorisation that is over: the one it had must not be kept alive by it."""
+    """The holder of a request that is over: the one it had must not be kept alive by it."""
 
     def start_leg(self, leg: Leg) -> None:
         """Nobody asks."""
@@ -107,7 +107,7 @@
         """Ask the server for its load report; ``Gateway.probed`` is then told. Must not park."""
 
 
-class Authorisation(Struct, eq=False):
+class ClientRequest(Struct, eq=False):
     """A client's request, from its arrival until its connection is over."""
 
     id: str
@@ -123,9 +123,9 @@
 
 
 class Leg(Struct, eq=False):
-    """One attempt of an authorisation at one server."""
+    """One attempt of a request at one server."""
 
-    authorisation: Authorisation
+    request: ClientRequest
     number: int
     host: Server
     started_at: float
@@ -146,7 +146,7 @@
         self._offset = time.time() - time.monotonic()
         self._balancer = Balancer(config.settings, config.seed, self.now())
         self._table = RoutingTable()
-        self._authorisations: dict[str, Authorisation] = {}
+        self._requests: dict[str, ClientRequest] = {}
         self._meters: dict[int, DelayMeter] = {}
         self._events: deque[Event] = deque()
         self._feeding = False
@@ -165,12 +165,12 @@
         return self._table.revision
 
     def pending(self) -> int:
-        """How many authorisations are owed an answer."""
-        return sum(1 for authorisation in self._authorisations.values() if not authorisation.over)
+        """How many requests are owed an answer."""
+        return sum(1 for request in self._requests.values() if not request.over)
 
-    def standing(self) -> list[Authorisation]:
+    def standing(self) -> list[ClientRequest]:
         """Those whose connections stand."""
-        return [authorisation for authorisation in self._authorisations.values() if authorisation.standing]
+        return [request for request in self._requests.values() if request.standing]
 
     def known_servers(self) -> int:
         """How many servers are in the list, the draining ones among them."""
@@ -184,12 +184,12 @@
         )
 
     def held(self) -> int:
-        """How many authorisations there are, those whose connections stand among them."""
-        return len(self._authorisations)
+        """How many requests there are, those whose connections stand among them."""
+        return len(self._requests)
 
     def busy(self) -> bool:
         """True while an answer is owed or a connection stands."""
-        return bool(self._authorisations)
+        return bool(self._requests)
 
     # What drivers tell
 
@@ -205,10 +205,10 @@
         """True if the settings name the class."""
         return class_name in self._config.wait_limits
 
-    def authorise(
+    def take_request(
         self, holder: Holder, class_name: str, wait: float | None, came_at: float,
         count: Count | None = None, **fields: Any,
-    ) -> Authorisation:
+    ) -> ClientRequest:
         """A client asks for a connection. What is known of the request beyond its class goes in fields.
 
         ``count`` is where it is counted, if its driver has counted it already.
@@ -216,25 +216,25 @@
         if wait is None:
             wait = self._config.wait_limits.get(class_name, 10.0)
         count = count or self.figures.take(class_name)
-        authorisation = self._admit(holder, came_at + wait - ANSWER_LEAD, count)
-        authorisation.deadline = self._timers.call_later(
-            authorisation.give_up_at - self.now() + ANSWER_OVERDUE, self._overdue, authorisation
+        request = self._admit(holder, came_at + wait - ANSWER_LEAD, count)
+        request.deadline = self._timers.call_later(
+            request.give_up_at - self.now() + ANSWER_OVERDUE, self._overdue, request
         )
-        self._feed(Request(authorisation.id, class_name, authorisation.give_up_at, **fields))
-        return authorisation
+        self._feed(Request(request.id, class_name, request.give_up_at, **fields))
+        return request
 
     def carry(
         self, holder: Holder, host: Server, class_name: str, count: Count | None = None, **fields: Any
     ) -> Leg:
         """A connection that was open before the proxy began is up again at its server."""
-        authorisation = self._admit(holder, 0.0, count or self.figures.take(class_name))
-        authorisation.count.passed()
-        authorisation.over = authorisation.standing = True
-        leg = Leg(authorisation, 0, host, self.now(), 0.0)
-        authorisation.leg, authorisation.legs = leg, 1
-        self._meter(host).add(authorisation.id)
+        request = self._admit(holder, 0.0, count or self.figures.take(class_name))
+        request.count.passed()
+        request.over = request.standing = True
+        leg = Leg(request, 0, host, self.now(), 0.0)
+        request.leg, request.legs = leg, 1
+        self._meter(host).add(request.id)
         self._count("carried")
-        self._feed(Carried(Request(authorisation.id, class_name, 0.0, **fields), host.number))
+        self._feed(Carried(Request(request.id, class_name, 0.0, **fields), host.number))
         return leg
 
     def may_start(self, leg: Leg) -> bool:
@@ -247,14 +247,14 @@
 
     def up(self, leg: Leg) -> bool:
         """The server took the connection; False if nobody waits for it any more."""
-        authorisation = leg.authorisation
-        if authorisation.over or leg.ended:
+        request = leg.request
+        if request.over or leg.ended:
             return False
-        authorisation.standing = True
-        authorisation.count.passed()
-        self._settle(authorisation)
-        self._meter(leg.host).add(authorisation.id)
-        self._feed(Established(authorisation.id, leg.number, leg.host.number, self.now() - leg.started_at))
+        request.standing = True
+        request.count.passed()
+        self._settle(request)
+        self._meter(leg.host).add(request.id)
+        self._feed(Established(request.id, leg.number, leg.host.number, self.now() - leg.started_at))
         return True
 
     def ended(self, leg: Leg, outcome: Outcome, report: tuple[tuple[str, float], ...] = ()) -> None:
@@ -262,54 +262,54 @@
         if leg.ended:
             return
         leg.ended = True
-        authorisation = leg.authorisation
-        authorisation.leg = None
+        request = leg.request
+        request.leg = None
         if outcome is Outcome.CONNECT_FAILED and self.now() >= leg.start_by:
             outcome = Outcome.MOOT  # it came too late, and its server is not to blame
-        if authorisation.silent and outcome is Outcome.CANCELLED:
+        if request.silent and outcome is Outcome.CANCELLED:
             outcome = Outcome.RESET  # it was the server that was lost, not the client that left
-        if authorisation.standing:
-            self._meter(leg.host).drop(authorisation.id)
+        if request.standing:
+            self._meter(leg.host).drop(request.id)
         if outcome is Outcome.OK:
-            authorisation.count.failed()  # unless it stood: to its client any other line than UP is a failure
-            self._settle(authorisation)
-        final = authorisation.over
+            request.count.failed()  # unless it stood: to its client any other line than UP is a failure
+            self._settle(request)
+        final = request.over
         if final:
-            self._forget(authorisation)
-        self._count(f"{'standing' if authorisation.standing else 'leg'} {outcome.name}")
+            self._forget(request)
+        self._count(f"{'standing' if request.standing else 'leg'} {outcome.name}")
         delay = self.now() - leg.started_at
-        self._feed(Ended(authorisation.id, leg.number, leg.host.number, outcome, delay, final, report))
+        self._feed(Ended(request.id, leg.number, leg.host.number, outcome, delay, final, report))
 
-    def left(self, authorisation: Authorisation) -> None:
+    def left(self, request: ClientRequest) -> None:
         """The client went before it had its answer. Its leg, if one is out, is then to be ended."""
-        if authorisation.over:
+        if request.over:
             return
-        authorisation.count.abandoned()
-        self._drop(authorisation)
+        request.count.abandoned()
+        self._drop(request)
 
     def lines_sent(self, leg: Leg, count: int) -> None:
         """So many of the client's lines were written to the server."""
-        self._meter(leg.host).sent(leg.authorisation.id, count)
+        self._meter(leg.host).sent(leg.request.id, count)
 
     def lines_back(self, leg: Leg, count: int) -> None:
         """So many lines answered."""
-        self._meter(leg.host).answered(leg.authorisation.id, count)
+        self._meter(leg.host).answered(leg.request.id, count)
 
     def client_slow(self, leg: Leg) -> None:
         """The client does not read, so what its server answers cannot be seen.
 
         Guards a sound server against being taken for slow or silent.
         """
-        self._meter(leg.host).drop(leg.authorisation.id)
+        self._meter(leg.host).drop(leg.request.id)
 
     def client_reads(self, leg: Leg) -> None:
         """The client took what was held for it."""
         if not leg.ended:
-            self._meter(leg.host).add(leg.authorisation.id)
+            self._meter(leg.host).add(leg.request.id)
 
     def load(self, leg: Leg, value: float) -> None:
         """The server told the connection's load."""
-        self._feed(Note(leg.authorisation.id, leg.number, leg.host.number, NoteKind.LOAD, value))
+        self._feed(Note(leg.request.id, leg.number, leg.host.number, NoteKind.LOAD, value))
 
     def probed(self, host: Server, outcome: Outcome, report: tuple[tuple[str, float], ...] = ()) -> None:
         """A probe's answer came, or none did."""
@@ -352,10 +352,10 @@
             case Fail():
                 self._answer(action.id, Count.failed, lambda holder: holder.fail())
             case Move():
-                authorisation = self._authorisations.get(action.id)
-                if authorisation is not None and authorisation.standing:
+                request = self._requests.get(action.id)
+                if request is not None and request.standing:
                     self._count("moved")
-                    authorisation.holder.move()
+                    request.holder.move()
             case Probe():
                 host = self._table.by_number(action.backend)
                 if host is not None and self.prober is not None:
@@ -364,47 +364,47 @@
                 pass  # the watch on discovery always stands
 
     def _send(self, send: Send) -> None:
-        authorisation = self._authorisations.get(send.id)
+        request = self._requests.get(send.id)
         host = self._table.by_number(send.backend)
-        left = 0.0 if authorisation is None else authorisation.give_up_at - self.now()
+        left = 0.0 if request is None else request.give_up_at - self.now()
         moot = (
-            authorisation is None
-            or authorisation.over
-            or authorisation.leg is not None  # legs never overlap
-            or authorisation.legs >= self._config.settings.max_attempts
+            request is None
+            or request.over
+            or request.leg is not None  # legs never overlap
+            or request.legs >= self._config.settings.max_attempts
             or left <= 0.0
         )
-        if authorisation is None or host is None or moot:
-            number = 0 if authorisation is None else authorisation.legs
-            self._feed(Ended(send.id, number, send.backend, Outcome.MOOT, 0.0, authorisation is None))
+        if request is None or host is None or moot:
+            number = 0 if request is None else request.legs
+            self._feed(Ended(send.id, number, send.backend, Outcome.MOOT, 0.0, request is None))
             return
         timeout = min(left, send.timeout) if send.timeout > 0.0 else left
-        leg = Leg(authorisation, authorisation.legs, host, self.now(), timeout, send.start_by)
-        authorisation.legs += 1
-        authorisation.leg = leg
+        leg = Leg(request, request.legs, host, self.now(), timeout, send.start_by)
+        request.legs += 1
+        request.leg = leg
         self._count("legs")
-        authorisation.holder.start_leg(leg)
+        request.holder.start_leg(leg)
 
     def _answer(self, id_: str, count: Callable[[Count], None], order: Callable[[Holder], None]) -> None:
-        authorisation = self._authorisations.get(id_)
-        if authorisation is None or authorisation.over:
+        request = self._requests.get(id_)
+        if request is None or request.over:
             return
-        count(authorisation.count)
-        self._settle(authorisation)
-        holder = authorisation.holder
-        if authorisation.leg is None:
-            self._forget(authorisation)
+        count(request.count)
+        self._settle(request)
+        holder = request.holder
+        if request.leg is None:
+            self._forget(request)
         order(holder)
 
-    def _overdue(self, authorisation: Authorisation) -> None:
+    def _overdue(self, request: ClientRequest) -> None:
         """Guards the promise of an answer against decisions that fell silent."""
-        if authorisation.over:
+        if request.over:
             return
-        log.warning("no answer for %s in time", authorisation.id)
+        log.warning("no answer for %s in time", request.id)
         self._count("overdue")
-        authorisation.count.failed()
-        holder = authorisation.holder
-        self._drop(authorisation)
+        request.count.failed()
+        holder = request.holder
+        self._drop(request)
         holder.fail()
 
     def settle_all(self) -> None:
@@ -413,41 +413,41 @@
         Which one the decisions say, for an attempt that is out may have run: a request that may not simply be
         repeated has failed then. Not to be called from a task of a connection.
         """
-        for authorisation in list(self._authorisations.values()):
-            if authorisation.over:
+        for request in list(self._requests.values()):
+            if request.over:
                 continue
             self._count("settled at the end")
-            self._feed(CutShort(authorisation.id))
-            leg = authorisation.leg
+            self._feed(CutShort(request.id))
+            leg = request.leg
             if leg is not None:
-                may_have_run = authorisation.holder.stop_leg()
+                may_have_run = request.holder.stop_leg()
                 self.ended(leg, Outcome.CANCELLED if may_have_run else Outcome.MOOT)
-            self._overdue(authorisation)  # guards against decisions that fail; else it is over
+            self._overdue(request)  # guards against decisions that fail; else it is over
 
     # Book-keeping
 
-    def _admit(self, holder: Holder, give_up_at: float, count: Count) -> Authorisation:
-        # A number of our own: a client's id that came twice must not mix up two authorisations.
-        authorisation = Authorisation(f"a{next(self._serial)}", give_up_at, holder, count)
-        self._authorisations[authorisation.id] = authorisation
-        return authorisation
+    def _admit(self, holder: Holder, give_up_at: float, count: Count) -> ClientRequest:
+        # A number of our own: a client's id that came twice must not mix up two requests.
+        request = ClientRequest(f"a{next(self._serial)}", give_up_at, holder, count)
+        self._requests[request.id] = request
+        return request
 
-    def _drop(self, authorisation: Authorisation) -> None:
+    def _drop(self, request: ClientRequest) -> None:
         """Nothing is owed any more, and the decisions are not the ones who said so."""
-        self._settle(authorisation)
-        if authorisation.leg is None:
-            self._forget(authorisation)
-        self._feed(Abandoned(authorisation.id))
+        self._settle(request)
+        if request.leg is None:
+            self._forget(request)
+        self._feed(Abandoned(request.id))
 
-    def _forget(self, authorisation: Authorisation) -> None:
-        self._authorisations.pop(authorisation.id, None)
-        authorisation.count.ended()
-        authorisation.holder = NOBODY
+    def _forget(self, request: ClientRequest) -> None:
+        self._requests.pop(request.id, None)
+        request.count.ended()
+        request.holder = NOBODY
 
-    def _settle(self, authorisation: Authorisation) -> None:
-        authorisation.over = True
-        self._timers.cancel(authorisation.deadline)
-        authorisation.deadline = None
+    def _settle(self, request: ClientRequest) -> None:
+        request.over = True
+        self._timers.cancel(request.deadline)
+        request.deadline = None
 
     def _meter(self, host: Server) -> DelayMeter:
         meter = self._meters.get(host.number)
@@ -461,18 +461,18 @@
         return meter
 
     def _delayed(self, id_: str, host: Server, delay: float) -> None:
-        authorisation = self._authorisations.get(id_)
-        if authorisation is not None and authorisation.leg is not None:
-            number = authorisation.leg.number
+        request = self._requests.get(id_)
+        if request is not None and request.leg is not None:
+            number = request.leg.number
             self._feed(Note(id_, number, host.number, NoteKind.DELAY, delay * 1000.0))
 
     def _silent(self, id_: str) -> None:
         """Nothing has come back for long: the server's machine may have vanished without a word."""
-        authorisation = self._authorisations.get(id_)
-        if authorisation is not None and authorisation.standing:
+        request = self._requests.get(id_)
+        if request is not None and request.standing:
             self._count("silent")
-            authorisation.silent = True
-            authorisation.holder.move()
+            request.silent = True
+            request.holder.move()
 
     def _count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -18,7 +18,7 @@
 from ironmill.admission import Admission, Ticket
 from ironmill.config import Config
 from ironmill.figures import Count
-from ironmill.gateway import Authorisation, Gateway, Leg
+from ironmill.gateway import ClientRequest, Gateway, Leg
 from ironmill.net.server import Dial, LegDriver, LegEnd
 from ironmill.net.sockets import Stream, TimedOutError
 from ironmill.protocol.client import (
@@ -95,9 +95,26 @@
     """Owns the client's socket and the leg's; a ``Holder`` to the gateway."""
 
     __slots__ = (
-        "_admission", "_authorisation", "_client_ended", "_config", "_count", "_dial", "_driver", "_first",
-        "_first_by", "_gateway", "_guest", "_leg", "_leg_task", "_move_wanted", "_reader", "_scheduler",
-        "_side", "_stream", "_ticket", "_writing",
+        "_admission",
+        "_client_ended",
+        "_config",
+        "_count",
+        "_dial",
+        "_driver",
+        "_first",
+        "_first_by",
+        "_gateway",
+        "_guest",
+        "_leg",
+        "_leg_task",
+        "_move_wanted",
+        "_reader",
+        "_request",
+        "_scheduler",
+        "_side",
+        "_stream",
+        "_ticket",
+        "_writing",
     )
 
     def __init__(
@@ -116,7 +133,7 @@
         self._guest = None if callers is None else callers.guest(self, stream.peer())
         self._first: FirstLine | None = None
         self._count: Count | None = None  # from its request on
-        self._authorisation: Authorisation | None = None
+        self._request: ClientRequest | None = None
         self._reader: Task | None = None
         self._leg: Leg | None = None  # out or standing, as the gateway knows it
         self._leg_task: Task | None = None
@@ -155,8 +172,8 @@
             if self._count is not None:
                 self._count.failed()
             try:
-                if self._authorisation is not None:
-                    self._gateway.left(self._authorisation)
+                if self._request is not None:
+                    self._gateway.left(self._request)
                 self._finish(b"" if standing else b"ERR\r\n")
             finally:  # guards its descriptor, its id and its slot against what failed a second time
                 self._stream.abort()
@@ -225,7 +242,7 @@
                 self._admission.complain(str(error))
             self._client_gone(reset=True)
         else:
-            if self._side.state is ClientState.OVER and self._authorisation is None and self._first is None:
+            if self._side.state is ClientState.OVER and self._request is None and self._first is None:
                 self._finish(b"")  # it left without a word
 
     def _too_late(self) -> None:
@@ -251,8 +268,8 @@
         self._side.close()
         if self._count is not None:
             self._count.failed()
-        if self._authorisation is not None:
-            self._gateway.left(self._authorisation)
+        if self._request is not None:
+            self._gateway.left(self._request)
         self._finish(b"ERR\r\n")
 
     def _take(self, event: ClientEvent) -> None:
@@ -324,7 +341,7 @@
             self._leg_task = self._scheduler.spawn(self.guarded, self._carry, first)
             return
         wait = int(first.fields["d"]) / 1000.0 if "d" in first.fields else None
-        self._authorisation = self._gateway.authorise(
+        self._request = self._gateway.take_request(
             self, first.fields["c"], wait, came_at, self._count, **self._request_fields(first)
         )
 
@@ -350,8 +367,8 @@
     def _client_gone(self, reset: bool) -> None:
         """The client is gone; its server is told in the same way. Called in either task."""
         self._side.close()
-        if self._authorisation is not None:
-            self._gateway.left(self._authorisation)
+        if self._request is not None:
+            self._gateway.left(self._request)
         self._drop_leg(Outcome.CANCELLED, reset)
         self._stream.close()
 
@@ -480,7 +497,7 @@
             self._leg = self._gateway.carry(
                 self, host, first.fields["c"], self._count, **self._request_fields(first)
             )
-            self._authorisation = self._leg.authorisation
+            self._request = self._leg.request
         elif not self._gateway.up(self._leg):
             driver.close()
             return False
--- a/ironmill/net/send_away.py
+++ b/ironmill/net/send_away.py
@@ -32,7 +32,7 @@
         """
         while (left := end - time.monotonic()) > 0.0 and self._gateway.busy():
             waiting = [one for one in self._gateway.standing() if one.id not in self._moved]
-            for authorisation in waiting[: due(len(waiting), left)]:
-                self._moved.add(authorisation.id)
-                authorisation.holder.move()
+            for request in waiting[: due(len(waiting), left)]:
+                self._moved.add(request.id)
+                request.holder.move()
             self._scheduler.sleep(LOOK)
--- a/ironmill/protocol/client.py
+++ b/ironmill/protocol/client.py
@@ -104,7 +104,7 @@
     """Where a client's connection is."""
 
     FIRST = auto()  # its first line has not come
-    WAITING = auto()  # its authorisation is being decided
+    WAITING = auto()  # its request is being decided
     STANDING = auto()  # its bytes go on unchanged
     OVER = auto()
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -82,7 +82,7 @@
 
 
 class GatewayMachine(RuleBasedStateMachine):
-    """A model of authorisations: one answer each, one end for each leg, never two legs at once."""
+    """A model of requests: one answer each, one end for each leg, never two legs at once."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -103,9 +103,9 @@
 
     def teardown(self) -> None:
         self.timers.run(5.0)  # whatever is owed has been answered by then
-        for holder, authorisation in self.holders:
-            settled = len(holder.answers) + (authorisation.id in self.up) + (authorisation.id in self.left)
-            assert settled == 1, (holder.answers, authorisation)
+        for holder, request in self.holders:
+            settled = len(holder.answers) + (request.id in self.up) + (request.id in self.left)
+            assert settled == 1, (holder.answers, request)
         assert self.gateway.pending() == 0
         self.patch.undo()
 
@@ -113,19 +113,19 @@
         return [holder.legs[-1] for holder, _ in self.holders if holder.legs and not holder.legs[-1].ended]
 
     @rule(wait=st.sampled_from([0.0, 0.05, 1.0, None]), mid=st.booleans())
-    def authorise(self, wait: float | None, mid: bool) -> None:
+    def take_request(self, wait: float | None, mid: bool) -> None:
         holder = FakeHolder()
-        authorisation = self.gateway.authorise(holder, "read", wait, self.gateway.now(), rerouted=mid)
-        self.holders.append((holder, authorisation))
+        request = self.gateway.take_request(holder, "read", wait, self.gateway.now(), rerouted=mid)
+        self.holders.append((holder, request))
 
     @precondition(lambda self: self.out())
     @rule(pick=st.integers(0, 99))
     def stand(self, pick: int) -> None:
         leg = self.out()[pick % len(self.out())]
-        owed = not leg.authorisation.over
+        owed = not leg.request.over
         assert self.gateway.up(leg) == owed
         if owed:
-            self.up.add(leg.authorisation.id)
+            self.up.add(leg.request.id)
 
     @precondition(lambda self: self.out())
     @rule(pick=st.integers(0, 99), outcome=st.sampled_from([o for o in Outcome if o is not Outcome.OK]))
@@ -137,10 +137,10 @@
     @precondition(lambda self: self.holders)
     @rule(pick=st.integers(0, 99))
     def leave(self, pick: int) -> None:
-        holder, authorisation = self.holders[pick % len(self.holders)]
-        if not authorisation.over:
-            self.left.add(authorisation.id)
-        self.gateway.left(authorisation)
+        holder, request = self.holders[pick % len(self.holders)]
+        if not request.over:
+            self.left.add(request.id)
+        self.gateway.left(request)
         if holder.legs:
             self.gateway.ended(holder.legs[-1], Outcome.CANCELLED)
 
@@ -157,7 +157,7 @@
         ends = [(event.id, event.attempt) for event in self.fed if isinstance(event, Ended)]
         assert len(ends) == len(set(ends))
         legs = [leg for holder, _ in self.holders for leg in holder.legs]
-        assert set(ends) >= {(leg.authorisation.id, leg.number) for leg in legs if leg.ended}
+        assert set(ends) >= {(leg.request.id, leg.number) for leg in legs if leg.ended}
 
 
 TestGateway = GatewayMachine.TestCase
@@ -173,7 +173,7 @@
         raise ZeroDivisionError
 
     monkeypatch.setattr(Balancer, "handle", broken)
-    gateway.authorise(holder, "read", 1.0, gateway.now())
+    gateway.take_request(holder, "read", 1.0, gateway.now())
     timers.run(0.9)
     assert holder.answers == []
     timers.run(0.1 + ANSWER_OVERDUE)
@@ -183,7 +183,7 @@
 def test_a_leg_may_not_start_late_on_a_leaving_server(timers: FakeTimers) -> None:
     """Guards the drain rule for a leg that was ordered in time but is slow to connect."""
     gateway, holder = Gateway(config(Routing(1, True, (listed("s-1"),))), timers), FakeHolder()
-    gateway.authorise(holder, "read", 1.0, gateway.now())
+    gateway.take_request(holder, "read", 1.0, gateway.now())
     (leg,) = holder.legs
     gateway.routing(Routing(2, False, (listed("s-1", Stage.DRAINING),)))
     assert gateway.may_start(leg)
@@ -220,10 +220,10 @@
     timers: FakeTimers, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     gateway, holder, fed = Gateway(config(), timers), FakeHolder(), list[Event]()
-    authorisation = gateway.authorise(holder, "read", 1.0, gateway.now())
+    request = gateway.take_request(holder, "read", 1.0, gateway.now())
     handle = Balancer.handle
     monkeypatch.setattr(Balancer, "handle", lambda b, e, now: fed.append(e) or handle(b, e, now))
-    gateway.left(authorisation)
+    gateway.left(request)
     gateway.ended(holder.legs[0], Outcome.CANCELLED)
     assert [type(event) for event in fed] == [Abandoned, Ended]
     assert isinstance(fed[1], Ended)
@@ -317,7 +317,7 @@
 
 def test_legs_end_with_the_attempts_that_the_settings_allow(timers: FakeTimers) -> None:
     gateway, holder = Gateway(config(), timers), FakeHolder()
-    gateway.authorise(holder, "read", 1.9, gateway.now())
+    gateway.take_request(holder, "read", 1.9, gateway.now())
     for step in itertools.count():
         if holder.answers or step > 50:
             break
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -349,8 +349,8 @@
         client, leg = town.pair()
         leg.send(b"ha")
         assert client.receive(5.0) == b"ha"
-        (authorisation,) = town.gateway.standing()
-        authorisation.holder.move()
+        (request,) = town.gateway.standing()
+        request.holder.move()
         town.scheduler.sleep(0.02)
         leg.send(b"lf\r\n")
         data = b""
@@ -370,8 +370,8 @@
         client, leg = town.pair()
         leg.send(b"ha")
         assert client.receive(5.0) == b"ha"
-        (authorisation,) = town.gateway.standing()
-        authorisation.holder.move()
+        (request,) = town.gateway.standing()
+        request.holder.move()
         assert client.receive(5.0) == b""
 
     Town().run(story)
@@ -463,9 +463,9 @@
             assert read_line(leg) == at
             leg.send(answer)
         assert read_line(client) == b"UP r9\r\n"
-        (authorisation,) = town.gateway.standing()
-        assert authorisation.leg is not None
-        assert authorisation.leg.host.uid == "s-1"
+        (request,) = town.gateway.standing()
+        assert request.leg is not None
+        assert request.leg.host.uid == "s-1"
         client.send(b"hey\r\n")
         assert read_line(leg) == b"hey\r\n"
 
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -213,7 +213,7 @@
     assert [host.number for host in hosts] == [number]
     assert gateway.counts["probe OK"] == 1
     holder = FakeHolder()
-    gateway.authorise(holder, "read", 1.0, gateway.now())
+    gateway.take_request(holder, "read", 1.0, gateway.now())
     assert len(holder.legs) == 1
 
 
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -603,9 +603,9 @@
     def story(town: Town) -> None:
         first, second = (town.client(OPEN.replace(b"1a", name)) for name in (b"1a", b"1b"))
         town.until(lambda: town.gateway.pending() == 2)
-        ids = list(town.gateway._authorisations)
+        ids = list(town.gateway._requests)
         orders = [Refuse(ids[0], 0.1), Refuse(ids[1], 0.1)]
-        holder = town.gateway._authorisations[ids[0]].holder
+        holder = town.gateway._requests[ids[0]].holder
 
         def decline(self: ClientDriver, retry_after: float) -> None:
             if self is holder:
