--- a/ironmill/admission.py
+++ b/ironmill/admission.py
@@ -1,7 +1,7 @@
 """Which clients' connections are let in, counted in descriptors against the stated limit.
 
 A client's connection is silent until its first line has come, then admitted (a second descriptor is
-set aside for its leg), and leaving once it has its last answer. Nothing here knows a socket: room is
+set aside for its attempt), and leaving once it has its last answer. Nothing here knows a socket: room is
 made by telling the oldest silent connection to go, for an honest client speaks at once.
 """
 
@@ -18,7 +18,7 @@
 # probes 20 (``net/probe``); 45, and the connection that is being accepted.
 OWN = 48
 # What may be silent, and what may be leaving, as parts of the stated descriptors. Clients' requests hold
-# a third of them at the most, and as many legs.
+# a third of them at the most, and as many attempts.
 SILENT_PART = 4
 LEAVING_PART = 8
 LEAST = 16  # descriptors for clients, however few are stated
@@ -61,7 +61,7 @@
 
 
 class Admission:
-    """Counts clients' connections and their legs, and knows which ids are taken."""
+    """Counts clients' connections and their attempts, and knows which ids are taken."""
 
     def __init__(self, sockets: int) -> None:
         self.most = max(LEAST, sockets - OWN)
@@ -75,7 +75,7 @@
         self._unsaid = 0
 
     def used(self) -> int:
-        """Descriptors held by clients, or set aside for their legs."""
+        """Descriptors held by clients, or set aside for their attempts."""
         return len(self._silent) + 2 * self._admitted + self._leaving
 
     def enter(self, evict: Evict) -> Ticket | None:
@@ -90,7 +90,7 @@
         return ticket
 
     def admit(self, ticket: Ticket) -> bool:
-        """Its request is in form: set a descriptor aside for its leg. False if there is none."""
+        """Its request is in form: set a descriptor aside for its attempt. False if there is none."""
         if ticket.stage is not Stage.SILENT:
             return False
         del self._silent[ticket]
--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -1,6 +1,6 @@
 """The gateway: between the decisions and whatever protocol carries them out.
 
-It owns the ``Balancer``, the requests and their legs. Protocol drivers tell it what happened in
+It owns the ``Balancer``, the requests and their attempts. Protocol drivers tell it what happened in
 terms of these; it feeds the decisions and turns their actions into orders to the drivers. It knows no
 socket and no line, so a second protocol is one more kind of ``Holder``.
 """
@@ -52,7 +52,7 @@
 ANSWER_LEAD = 0.01
 # If the decisions have said nothing by then the gateway answers for them.
 ANSWER_OVERDUE = 0.02
-# A leg begins this much sooner than the rule on draining servers would let it.
+# An attempt begins this much sooner than the rule on draining servers would let it.
 DRAIN_LEAD = 0.05
 
 log = logging.getLogger("ironmill.gateway")
@@ -61,11 +61,11 @@
 class Holder(Protocol):
     """The driver of a client's connection: what the gateway orders of it. None of these may park."""
 
-    def start_leg(self, leg: Leg) -> None:
-        """Open a connection to the leg's server and ask there."""
+    def start_attempt(self, attempt: Attempt) -> None:
+        """Open a connection to the attempt's server and ask there."""
 
-    def stop_leg(self) -> bool:
-        """End the leg that is out, at once. True if its first line was written whole, so it may have run."""
+    def stop_attempt(self) -> bool:
+        """End the attempt that is out, at once. True if its first line was written whole: it may have run."""
 
     def decline(self, retry_after: float) -> None:
         """Give the final answer that trying again is harmless, and when."""
@@ -80,10 +80,10 @@
 class _Nobody:
     """The holder of a request that is over: the one it had must not be kept alive by it."""
 
-    def start_leg(self, leg: Leg) -> None:
+    def start_attempt(self, attempt: Attempt) -> None:
         """Nobody asks."""
 
-    def stop_leg(self) -> bool:
+    def stop_attempt(self) -> bool:
         """Nothing is out."""
         return False
 
@@ -114,15 +114,15 @@
     give_up_at: float
     holder: Holder
     count: Count
-    legs: int = 0
-    leg: Leg | None = None  # the one that is out or stands; there is never a second
+    attempts: int = 0
+    attempt: Attempt | None = None  # the one that is out or stands; there is never a second
     standing: bool = False
     silent: bool = False  # nothing came back for long
     over: bool = False  # no answer is owed any more
     deadline: Timer | None = None
 
 
-class Leg(Struct, eq=False):
+class Attempt(Struct, eq=False):
     """One attempt of a request at one server."""
 
     request: ClientRequest
@@ -225,91 +225,92 @@
 
     def carry(
         self, holder: Holder, host: Server, class_name: str, count: Count | None = None, **fields: Any
-    ) -> Leg:
+    ) -> Attempt:
         """A connection that was open before the proxy began is up again at its server."""
         request = self._admit(holder, 0.0, count or self.figures.take(class_name))
         request.count.passed()
         request.over = request.standing = True
-        leg = Leg(request, 0, host, self.now(), 0.0)
-        request.leg, request.legs = leg, 1
+        attempt = Attempt(request, 0, host, self.now(), 0.0)
+        request.attempt, request.attempts = attempt, 1
         self._meter(host).add(request.id)
         self._count("carried")
         self._feed(Carried(Request(request.id, class_name, 0.0, **fields), host.number))
-        return leg
+        return attempt
 
-    def may_start(self, leg: Leg) -> bool:
-        """False once it is too late for a leg's first byte: for a repeat that could take effect a second
+    def may_start(self, attempt: Attempt) -> bool:
+        """False once it is too late for an attempt's first byte: for a repeat that could take effect a second
         time, and at a server that was told to be leaving."""
-        if self.now() >= leg.start_by:
+        if self.now() >= attempt.start_by:
             return False
-        since = leg.host.leaving_since
+        since = attempt.host.leaving_since
         return since is None or self.now() - since < self._config.drain_grace - DRAIN_LEAD
 
-    def up(self, leg: Leg) -> bool:
+    def up(self, attempt: Attempt) -> bool:
         """The server took the connection; False if nobody waits for it any more."""
-        request = leg.request
-        if request.over or leg.ended:
+        request = attempt.request
+        if request.over or attempt.ended:
             return False
         request.standing = True
         request.count.passed()
         self._settle(request)
-        self._meter(leg.host).add(request.id)
-        self._feed(Established(request.id, leg.number, leg.host.number, self.now() - leg.started_at))
+        self._meter(attempt.host).add(request.id)
+        delay = self.now() - attempt.started_at
+        self._feed(Established(request.id, attempt.number, attempt.host.number, delay))
         return True
 
-    def ended(self, leg: Leg, outcome: Outcome, report: tuple[tuple[str, float], ...] = ()) -> None:
-        """The leg is over and its connection closed. Tells the decisions once, however often it is called."""
-        if leg.ended:
+    def ended(self, attempt: Attempt, outcome: Outcome, report: tuple[tuple[str, float], ...] = ()) -> None:
+        """The attempt is over and its connection closed. The decisions are told once, however often called."""
+        if attempt.ended:
             return
-        leg.ended = True
-        request = leg.request
-        request.leg = None
-        if outcome is Outcome.CONNECT_FAILED and self.now() >= leg.start_by:
+        attempt.ended = True
+        request = attempt.request
+        request.attempt = None
+        if outcome is Outcome.CONNECT_FAILED and self.now() >= attempt.start_by:
             outcome = Outcome.MOOT  # it came too late, and its server is not to blame
         if request.silent and outcome is Outcome.CANCELLED:
             outcome = Outcome.RESET  # it was the server that was lost, not the client that left
         if request.standing:
-            self._meter(leg.host).drop(request.id)
+            self._meter(attempt.host).drop(request.id)
         if outcome is Outcome.OK:
             request.count.failed()  # unless it stood: to its client any other line than UP is a failure
             self._settle(request)
         final = request.over
         if final:
             self._forget(request)
-        self._count(f"{'standing' if request.standing else 'leg'} {outcome.name}")
-        delay = self.now() - leg.started_at
-        self._feed(Ended(request.id, leg.number, leg.host.number, outcome, delay, final, report))
+        self._count(f"{'standing' if request.standing else 'attempt'} {outcome.name}")
+        delay = self.now() - attempt.started_at
+        self._feed(Ended(request.id, attempt.number, attempt.host.number, outcome, delay, final, report))
 
     def left(self, request: ClientRequest) -> None:
-        """The client went before it had its answer. Its leg, if one is out, is then to be ended."""
+        """The client went before it had its answer. Its attempt, if one is out, is then to be ended."""
         if request.over:
             return
         request.count.abandoned()
         self._drop(request)
 
-    def lines_sent(self, leg: Leg, count: int) -> None:
+    def lines_sent(self, attempt: Attempt, count: int) -> None:
         """So many of the client's lines were written to the server."""
-        self._meter(leg.host).sent(leg.request.id, count)
+        self._meter(attempt.host).sent(attempt.request.id, count)
 
-    def lines_back(self, leg: Leg, count: int) -> None:
+    def lines_back(self, attempt: Attempt, count: int) -> None:
         """So many lines answered."""
-        self._meter(leg.host).answered(leg.request.id, count)
+        self._meter(attempt.host).answered(attempt.request.id, count)
 
-    def client_slow(self, leg: Leg) -> None:
+    def client_slow(self, attempt: Attempt) -> None:
         """The client does not read, so what its server answers cannot be seen.
 
         Guards a sound server against being taken for slow or silent.
         """
-        self._meter(leg.host).drop(leg.request.id)
+        self._meter(attempt.host).drop(attempt.request.id)
 
-    def client_reads(self, leg: Leg) -> None:
+    def client_reads(self, attempt: Attempt) -> None:
         """The client took what was held for it."""
-        if not leg.ended:
-            self._meter(leg.host).add(leg.request.id)
+        if not attempt.ended:
+            self._meter(attempt.host).add(attempt.request.id)
 
-    def load(self, leg: Leg, value: float) -> None:
+    def load(self, attempt: Attempt, value: float) -> None:
         """The server told the connection's load."""
-        self._feed(Note(leg.request.id, leg.number, leg.host.number, NoteKind.LOAD, value))
+        self._feed(Note(attempt.request.id, attempt.number, attempt.host.number, NoteKind.LOAD, value))
 
     def probed(self, host: Server, outcome: Outcome, report: tuple[tuple[str, float], ...] = ()) -> None:
         """A probe's answer came, or none did."""
@@ -370,20 +371,20 @@
         moot = (
             request is None
             or request.over
-            or request.leg is not None  # legs never overlap
-            or request.legs >= self._config.settings.max_attempts
+            or request.attempt is not None  # attempts never overlap
+            or request.attempts >= self._config.settings.max_attempts
             or left <= 0.0
         )
         if request is None or host is None or moot:
-            number = 0 if request is None else request.legs
+            number = 0 if request is None else request.attempts
             self._feed(Ended(send.id, number, send.backend, Outcome.MOOT, 0.0, request is None))
             return
         timeout = min(left, send.timeout) if send.timeout > 0.0 else left
-        leg = Leg(request, request.legs, host, self.now(), timeout, send.start_by)
-        request.legs += 1
-        request.leg = leg
-        self._count("legs")
-        request.holder.start_leg(leg)
+        attempt = Attempt(request, request.attempts, host, self.now(), timeout, send.start_by)
+        request.attempts += 1
+        request.attempt = attempt
+        self._count("attempts")
+        request.holder.start_attempt(attempt)
 
     def _answer(self, id_: str, count: Callable[[Count], None], order: Callable[[Holder], None]) -> None:
         request = self._requests.get(id_)
@@ -392,7 +393,7 @@
         count(request.count)
         self._settle(request)
         holder = request.holder
-        if request.leg is None:
+        if request.attempt is None:
             self._forget(request)
         order(holder)
 
@@ -418,10 +419,10 @@
                 continue
             self._count("settled at the end")
             self._feed(CutShort(request.id))
-            leg = request.leg
-            if leg is not None:
-                may_have_run = request.holder.stop_leg()
-                self.ended(leg, Outcome.CANCELLED if may_have_run else Outcome.MOOT)
+            attempt = request.attempt
+            if attempt is not None:
+                may_have_run = request.holder.stop_attempt()
+                self.ended(attempt, Outcome.CANCELLED if may_have_run else Outcome.MOOT)
             self._overdue(request)  # guards against decisions that fail; else it is over
 
     # Book-keeping
@@ -435,7 +436,7 @@
     def _drop(self, request: ClientRequest) -> None:
         """Nothing is owed any more, and the decisions are not the ones who said so."""
         self._settle(request)
-        if request.leg is None:
+        if request.attempt is None:
             self._forget(request)
         self._feed(Abandoned(request.id))
 
@@ -462,8 +463,8 @@
 
     def _delayed(self, id_: str, host: Server, delay: float) -> None:
         request = self._requests.get(id_)
-        if request is not None and request.leg is not None:
-            number = request.leg.number
+        if request is not None and request.attempt is not None:
+            number = request.attempt.number
             self._feed(Note(id_, number, host.number, NoteKind.DELAY, delay * 1000.0))
 
     def _silent(self, id_: str) -> None:
--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -1,4 +1,4 @@
-"""The driver of one client's connection, with the task that reads it and the task of its leg.
+"""The driver of one client's connection, with the task that reads it and the task of its attempt.
 
 What the gateway orders is done in a task of its own, one turn later: an order may come from within
 either of the two tasks, and neither can end itself halfway through telling the gateway something.
@@ -18,8 +18,8 @@
 from ironmill.admission import Admission, Ticket
 from ironmill.config import Config
 from ironmill.figures import Count
-from ironmill.gateway import ClientRequest, Gateway, Leg
-from ironmill.net.server import Dial, LegDriver, LegEnd
+from ironmill.gateway import Attempt, ClientRequest, Gateway
+from ironmill.net.server import AttemptDriver, AttemptEnd, Dial
 from ironmill.net.sockets import Stream, TimedOutError
 from ironmill.protocol.client import (
     Asked,
@@ -92,10 +92,12 @@
 
 
 class ClientDriver:
-    """Owns the client's socket and the leg's; a ``Holder`` to the gateway."""
+    """Owns the client's socket and the attempt's; a ``Holder`` to the gateway."""
 
     __slots__ = (
         "_admission",
+        "_attempt",
+        "_attempt_task",
         "_client_ended",
         "_config",
         "_count",
@@ -105,8 +107,6 @@
         "_first_by",
         "_gateway",
         "_guest",
-        "_leg",
-        "_leg_task",
         "_move_wanted",
         "_reader",
         "_request",
@@ -135,9 +135,9 @@
         self._count: Count | None = None  # from its request on
         self._request: ClientRequest | None = None
         self._reader: Task | None = None
-        self._leg: Leg | None = None  # out or standing, as the gateway knows it
-        self._leg_task: Task | None = None
-        self._driver: LegDriver | None = None
+        self._attempt: Attempt | None = None  # out or standing, as the gateway knows it
+        self._attempt_task: Task | None = None
+        self._driver: AttemptDriver | None = None
         self._writing = False  # to the client
         self._client_ended = False
         self._move_wanted = False
@@ -290,7 +290,7 @@
                 self._client_ended = True
                 if self._driver is not None and self._driver.stream is not None:
                     self._driver.stream.finish()
-                self._scheduler.sleep(HALF_CLOSED_WAIT)  # the leg's end ends this task
+                self._scheduler.sleep(HALF_CLOSED_WAIT)  # the attempt's end ends this task
                 self._client_gone(reset=False)
             case Left():
                 self._client_gone(reset=False)
@@ -338,7 +338,7 @@
             return
         self._first = first
         if "at" in first.fields:
-            self._leg_task = self._scheduler.spawn(self.guarded, self._carry, first)
+            self._attempt_task = self._scheduler.spawn(self.guarded, self._carry, first)
             return
         wait = int(first.fields["d"]) / 1000.0 if "d" in first.fields else None
         self._request = self._gateway.take_request(
@@ -352,8 +352,8 @@
 
     def _onward(self, onward: Onward) -> None:
         """Bytes to the server. Reading waits meanwhile, so no more than a chunk is ever held."""
-        driver, leg = self._driver, self._leg
-        if not onward.data or driver is None or driver.stream is None or leg is None:
+        driver, attempt = self._driver, self._attempt
+        if not onward.data or driver is None or driver.stream is None or attempt is None:
             return
         try:
             driver.stream.send_beside(onward.data, self._stream)
@@ -361,28 +361,28 @@
             self._client_gone(reset=True)  # not all that it sent has got through
             return
         except OSError:
-            return  # the leg's task sees the end as well, and deals with it
-        self._gateway.lines_sent(leg, onward.lines)
+            return  # the attempt's task sees the end as well, and deals with it
+        self._gateway.lines_sent(attempt, onward.lines)
 
     def _client_gone(self, reset: bool) -> None:
         """The client is gone; its server is told in the same way. Called in either task."""
         self._side.close()
         if self._request is not None:
             self._gateway.left(self._request)
-        self._drop_leg(Outcome.CANCELLED, reset)
+        self._drop_attempt(Outcome.CANCELLED, reset)
         self._stream.close()
 
     # From the gateway
 
-    def start_leg(self, leg: Leg) -> None:
-        """Run the leg in a task of its own."""
-        self._leg = leg
-        self._leg_task = self._scheduler.spawn(self.guarded, self._run_leg, leg)
+    def start_attempt(self, attempt: Attempt) -> None:
+        """Run the attempt in a task of its own."""
+        self._attempt = attempt
+        self._attempt_task = self._scheduler.spawn(self.guarded, self._run_attempt, attempt)
 
-    def stop_leg(self) -> bool:
-        """End the leg that is out; the client still waits for its answer."""
-        driver, task = self._driver, self._leg_task
-        self._driver = self._leg_task = self._leg = None
+    def stop_attempt(self) -> bool:
+        """End the attempt that is out; the client still waits for its answer."""
+        driver, task = self._driver, self._attempt_task
+        self._driver = self._attempt_task = self._attempt = None
         self._scheduler.kill(task)
         if driver is None:
             return False
@@ -412,7 +412,7 @@
     def _finish(self, line: bytes, wait: float = REFUSED_WAIT) -> None:
         """The last line, and the end of all that is left."""
         self._side.close()
-        self._drop_leg(Outcome.CANCELLED)
+        self._drop_attempt(Outcome.CANCELLED)
         if self._stream.closed:
             return
         lingers = self._ticket is None or self._admission.part(self._ticket)
@@ -429,26 +429,26 @@
     def _move(self, at_last: bool) -> None:
         """End a standing connection, between two lines unless the one under way does not end."""
         driver = self._driver
-        if driver is None or self._leg is None or self._side.state is not ClientState.STANDING:
+        if driver is None or self._attempt is None or self._side.state is not ClientState.STANDING:
             return
         between = not self._writing and driver.side.between_lines
         if between or at_last:
             self._side.close()
             self._finish(b"MOVE\r\n" if between else b"", GENTLE)
 
-    # The leg
+    # The attempt
 
-    def _run_leg(self, leg: Leg) -> None:
+    def _run_attempt(self, attempt: Attempt) -> None:
         first = self._first
         assert first is not None
         if not self._still_there():
             return
-        line = first.with_wait(max(1, int(leg.timeout * 1000.0)))
-        driver = LegDriver(self._dial, line)
+        line = first.with_wait(max(1, int(attempt.timeout * 1000.0)))
+        driver = AttemptDriver(self._dial, line)
         self._driver = driver
         driver.run(
-            self, leg.host.address, self._config.connect_timeout, leg.timeout,
-            lambda: self._gateway.may_start(leg) and self._still_there(),
+            self, attempt.host.address, self._config.connect_timeout, attempt.timeout,
+            lambda: self._gateway.may_start(attempt) and self._still_there(),
         )
 
     def _still_there(self) -> bool:
@@ -468,37 +468,37 @@
         while time.monotonic() < deadline:
             host = self._gateway.server(first.fields["at"])
             if host is not None:
-                self._driver = LegDriver(self._dial, first.raw)
+                self._driver = AttemptDriver(self._dial, first.raw)
                 left = deadline - time.monotonic()
                 self._driver.run(self, host.address, self._config.connect_timeout, left, self._still_there)
                 if self._driver.side.stood:
                     return
             self._scheduler.sleep(CARRY_PAUSE)
         self._side.close()
-        self._leg_task = None
+        self._attempt_task = None
         if self._count is not None:
             self._count.failed()
         self._finish(b"ERR\r\n")
 
-    def leg_asked(self) -> None:
+    def attempt_asked(self) -> None:
         """An attempt is written whole."""
         if self._count is not None:
             self._count.tried()
 
-    def leg_up(self, driver: LegDriver, data: bytes) -> bool:
+    def attempt_up(self, driver: AttemptDriver, data: bytes) -> bool:
         """Pass UP back; from now on all bytes go on unchanged."""
         first = self._first
         if self._side.state is not ClientState.WAITING or first is None:
             driver.close()
             return False
-        if self._leg is None:
+        if self._attempt is None:
             host = self._gateway.server(first.fields["at"])
             assert host is not None
-            self._leg = self._gateway.carry(
+            self._attempt = self._gateway.carry(
                 self, host, first.fields["c"], self._count, **self._request_fields(first)
             )
-            self._request = self._leg.request
-        elif not self._gateway.up(self._leg):
+            self._request = self._attempt.request
+        elif not self._gateway.up(self._attempt):
             driver.close()
             return False
         self._first = None
@@ -510,36 +510,36 @@
         self._onward(early)
         return True
 
-    def leg_data(self, relayed: Relayed) -> bool:
+    def attempt_data(self, relayed: Relayed) -> bool:
         """Bytes to the client. Reading from the server waits meanwhile."""
-        if self._leg is not None:
-            self._gateway.lines_back(self._leg, relayed.answers)
+        if self._attempt is not None:
+            self._gateway.lines_back(self._attempt, relayed.answers)
             for load in relayed.loads:
-                self._gateway.load(self._leg, load)
+                self._gateway.load(self._attempt, load)
         if not self._write(relayed.data):
             return False
         if self._move_wanted:
             self._scheduler.spawn(self.guarded, self._move, False)
         return True
 
-    def leg_over(self, driver: LegDriver, end: LegEnd) -> None:
-        """The server has ended it: the client's side ends in the same way, or the next leg follows."""
-        leg = self._leg
+    def attempt_over(self, driver: AttemptDriver, end: AttemptEnd) -> None:
+        """The server has ended it: the client's side ends in the same way, or the next attempt follows."""
+        attempt = self._attempt
         if not end.stood:
-            if leg is None:
+            if attempt is None:
                 return  # one that was open before the run: its task tries again
-            self._driver = self._leg_task = self._leg = None
+            self._driver = self._attempt_task = self._attempt = None
             if end.outcome is Outcome.OK:
                 self._answer(end.line)
-            self._gateway.ended(leg, end.outcome, end.report)
+            self._gateway.ended(attempt, end.outcome, end.report)
             return
         self._side.close()
         self._scheduler.kill(self._reader)
         driver.close()
-        self._leg = self._leg_task = None
-        if leg is not None:
+        self._attempt = self._attempt_task = None
+        if attempt is not None:
             left = self._client_ended and end.outcome is Outcome.RESET
-            self._gateway.ended(leg, Outcome.CANCELLED if left else end.outcome, end.report)
+            self._gateway.ended(attempt, Outcome.CANCELLED if left else end.outcome, end.report)
         if end.broke:
             self._stream.abort()
         else:
@@ -550,13 +550,13 @@
         try:
             rest = data[self._stream.send_now(data) :]
             if rest or self._stream.behind:
-                if self._leg is not None:
-                    self._gateway.client_slow(self._leg)
+                if self._attempt is not None:
+                    self._gateway.client_slow(self._attempt)
                 source = None if self._driver is None else self._driver.stream
                 assert source is not None  # what is written comes from there
                 self._stream.send_beside(rest, source)
-                if self._leg is not None:
-                    self._gateway.client_reads(self._leg)
+                if self._attempt is not None:
+                    self._gateway.client_reads(self._attempt)
         except (OSError, TimedOutError):
             self._client_gone(reset=True)
             return False
@@ -564,14 +564,14 @@
             self._writing = False
         return True
 
-    def _drop_leg(self, outcome: Outcome, reset: bool = False) -> None:
-        """End both tasks but the running one, then the leg's connection; tell the gateway."""
-        leg, self._leg = self._leg, None
+    def _drop_attempt(self, outcome: Outcome, reset: bool = False) -> None:
+        """End both tasks but the running one, then the attempt's connection; tell the gateway."""
+        attempt, self._attempt = self._attempt, None
         driver = self._driver
-        for task in (self._reader, self._leg_task, None if driver is None else driver.task):
+        for task in (self._reader, self._attempt_task, None if driver is None else driver.task):
             if task is not None and not task.is_current():
                 self._scheduler.kill(task)
         if driver is not None:
             driver.close(reset)
-        if leg is not None:
-            self._gateway.ended(leg, outcome)
+        if attempt is not None:
+            self._gateway.ended(attempt, outcome)
--- a/ironmill/net/server.py
+++ b/ironmill/net/server.py
@@ -1,4 +1,4 @@
-"""The driver of one leg: connects, asks, and reads what the server sends until the end."""
+"""The driver of one attempt: connects, asks, and reads what the server sends until the end."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 from msgspec import Struct
 
 from ironmill.net.sockets import Stream, TimedOutError
-from ironmill.protocol.server import Declined, LegEvent, Relayed, Report, ServerSide, Up
+from ironmill.protocol.server import AttemptEvent, Declined, Relayed, Report, ServerSide, Up
 from ironmill.scheduler import Task
 from stonegap.interface import Outcome
 
 
-class LegEnd(Struct, frozen=True):
-    """How a leg ended."""
+class AttemptEnd(Struct, frozen=True):
+    """How an attempt ended."""
 
     outcome: Outcome
     report: Report
@@ -24,31 +24,31 @@
     broke: bool  # by a reset
 
 
-class LegOwner(Protocol):
-    """The client's driver, as its leg sees it."""
+class AttemptOwner(Protocol):
+    """The client's driver, as its attempt sees it."""
 
     def guarded(self, function: Callable[..., object], *args: object) -> None:
         """Run a task of this connection: its exception ends that connection alone."""
 
-    def leg_asked(self) -> None:
+    def attempt_asked(self) -> None:
         """The first line was written whole."""
 
-    def leg_up(self, driver: LegDriver, data: bytes) -> bool:
+    def attempt_up(self, driver: AttemptDriver, data: bytes) -> bool:
         """UP came; False if nobody waits for the connection any more."""
 
-    def leg_data(self, relayed: Relayed) -> bool:
+    def attempt_data(self, relayed: Relayed) -> bool:
         """Bytes for the client. Parks until they are written; False if the client is gone."""
 
-    def leg_over(self, driver: LegDriver, end: LegEnd) -> None:
-        """The server has ended the leg, or it never stood."""
+    def attempt_over(self, driver: AttemptDriver, end: AttemptEnd) -> None:
+        """The server has ended the attempt, or it never stood."""
 
 
 # Connects to an address within so many seconds. What comes before the first byte is the stream's ``shake``.
 Dial = Callable[[tuple[str, int], float], Stream]
 
 
-class LegDriver:
-    """Runs one leg: in the task that calls ``run`` until it stands, from then on in one whenever bytes come.
+class AttemptDriver:
+    """Runs one attempt: in the task that calls ``run`` until it stands, then in one whenever bytes come.
 
     It does not keep its owner, who keeps it: two that know each other are freed late.
     """
@@ -62,25 +62,25 @@
         self.task: Task | None = None  # relays, or waits for what there is to relay
 
     def run(
-        self, owner: LegOwner, address: tuple[str, int], connect_timeout: float, timeout: float,
+        self, owner: AttemptOwner, address: tuple[str, int], connect_timeout: float, timeout: float,
         may_start: Callable[[], bool],
     ) -> None:
-        """The leg until it stands or is over.
+        """The attempt until it stands or is over.
 
-        One that never stood is closed before its end is told: legs must not overlap.
+        One that never stood is closed before its end is told: attempts must not overlap.
         """
         deadline = time.monotonic() + timeout
         line, broke = b"", False
         try:
             self.stream = self._dial(address, min(connect_timeout, timeout))
-            # Guards the rule on draining: its time counts at the leg's first byte, not at the order. With TLS
-            # a handshake comes first, and is asked for as well.
+            # Guards the rule on draining: its time counts at the attempt's first byte, not at the order. With
+            # TLS a handshake comes first, and is asked for as well.
             answer = None
             if may_start():
                 self.stream.shake(min(deadline, time.monotonic() + connect_timeout))
                 answer = self._ask(owner, self.stream, deadline) if may_start() else None
             if isinstance(answer, Up):
-                if owner.leg_up(self, answer.data):  # else the owner has ended it all
+                if owner.attempt_up(self, answer.data):  # else the owner has ended it all
                     self._relay(owner, self.stream, answer.later)
                 return
             if isinstance(answer, Declined):
@@ -92,10 +92,10 @@
         except OSError:
             outcome, broke = self.side.end(), True
         self.close()
-        owner.leg_over(self, LegEnd(outcome, self.side.report, line, False, broke))
+        owner.attempt_over(self, AttemptEnd(outcome, self.side.report, line, False, broke))
 
     def close(self, reset: bool = False) -> None:
-        """End the leg's connection. Its task must be this one or have ended."""
+        """End the attempt's connection. Its task must be this one or have ended."""
         if self.stream is None or self.stream.closed:
             return
         if reset:
@@ -104,24 +104,24 @@
             self.stream.finish()
             self.stream.close()
 
-    def _ask(self, owner: LegOwner, stream: Stream, deadline: float) -> LegEvent | None:
+    def _ask(self, owner: AttemptOwner, stream: Stream, deadline: float) -> AttemptEvent | None:
         """Write the first line and wait for its answer; None if the connection ended without one."""
         unwritten = self.side.connected()
         while unwritten:
             unwritten = self.side.wrote(stream.send_some(unwritten, deadline - time.monotonic()))
-        owner.leg_asked()
+        owner.attempt_asked()
         while data := stream.receive(deadline - time.monotonic()):
             for event in self.side.receive(data):
                 return event
         return None
 
-    def _relay(self, owner: LegOwner, stream: Stream, data: bytes = b"") -> None:
+    def _relay(self, owner: AttemptOwner, stream: Stream, data: bytes = b"") -> None:
         """Relay to the client what has come, then leave a task behind that begins when more does."""
         broke = False
         try:
             while True:
                 for event in self.side.receive(data) if data else ():
-                    if isinstance(event, Relayed) and not owner.leg_data(event):
+                    if isinstance(event, Relayed) and not owner.attempt_data(event):
                         return  # the owner has ended it all
                 if stream.drained:
                     self.task = stream.when_readable(owner.guarded, self._relay, owner, stream)
@@ -132,4 +132,4 @@
         except OSError:
             broke = True
         outcome = self.side.end()
-        owner.leg_over(self, LegEnd(outcome, self.side.report, b"", True, broke))
+        owner.attempt_over(self, AttemptEnd(outcome, self.side.report, b"", True, broke))
--- a/ironmill/protocol/client.py
+++ b/ironmill/protocol/client.py
@@ -77,7 +77,7 @@
 
 
 class Malformed(Struct, frozen=True):
-    """The client does not speak the protocol: one plain answer and a close. Its leg, if any, ends."""
+    """The client does not speak the protocol: one plain answer and a close. Its attempt, if any, ends."""
 
     reason: str
 
--- a/ironmill/protocol/server.py
+++ b/ironmill/protocol/server.py
@@ -1,4 +1,4 @@
-"""A server's side of one leg as a state machine: what is written and what comes back."""
+"""A server's side of one attempt as a state machine: what is written and what comes back."""
 
 from __future__ import annotations
 
@@ -36,11 +36,11 @@
     loads: tuple[float, ...]  # what LOAD lines among them tell
 
 
-LegEvent: TypeAlias = Up | Declined | Relayed
+AttemptEvent: TypeAlias = Up | Declined | Relayed
 
 
-class LegState(Enum):
-    """Where a leg is."""
+class AttemptState(Enum):
+    """Where an attempt is."""
 
     CONNECTING = auto()
     ASKING = auto()  # its first line is not wholly written
@@ -88,12 +88,12 @@
 
 
 class ServerSide:
-    """What one leg has written and read."""
+    """What one attempt has written and read."""
 
     __slots__ = ("_lines", "_parting", "_raw", "report", "state", "stood", "unwritten")
 
     def __init__(self, first_line: bytes) -> None:
-        self.state = LegState.CONNECTING
+        self.state = AttemptState.CONNECTING
         self.unwritten = first_line
         self.report: Report = ()
         self.stood = False
@@ -108,21 +108,21 @@
 
     def connected(self) -> bytes:
         """The connection is up: what to write."""
-        self.state = LegState.ASKING
+        self.state = AttemptState.ASKING
         return self.unwritten
 
     def wrote(self, count: int) -> bytes:
         """So many bytes were taken: what is left to write."""
         self.unwritten = self.unwritten[count:]
         if not self.unwritten:
-            self.state = LegState.WAITING
+            self.state = AttemptState.WAITING
         return self.unwritten
 
-    def receive(self, data: bytes) -> list[LegEvent]:
+    def receive(self, data: bytes) -> list[AttemptEvent]:
         """The server sent these bytes."""
-        if self.state is LegState.STANDING:
+        if self.state is AttemptState.STANDING:
             return [self._relay(data)]
-        if self.state is LegState.OVER:
+        if self.state is AttemptState.OVER:
             return []
         self._raw += data
         try:
@@ -135,14 +135,14 @@
         if word != b"UP":
             self.report = parse_report(rest)
             return [self._declined(ANSWERS.get(word, Outcome.ERROR), lines[0])]
-        self.state, self.stood = LegState.STANDING, True
+        self.state, self.stood = AttemptState.STANDING, True
         first, later = self._raw[: len(lines[0]) + 2], self._raw[len(lines[0]) + 2 :]
         self._raw = b""
         self._lines = Lines(strict=False)
         return [Up(first, later)]
 
     def _declined(self, outcome: Outcome, line: bytes) -> Declined:
-        self.state = LegState.OVER
+        self.state = AttemptState.OVER
         return Declined(outcome, line + END)
 
     def _relay(self, data: bytes) -> Relayed:
@@ -160,15 +160,15 @@
         return Relayed(data, answers, tuple(loads))
 
     def end(self) -> Outcome:
-        """The connection ended, broke or never came up: the leg's outcome."""
-        before, self.state = self.state, LegState.OVER
-        if before in (LegState.CONNECTING, LegState.ASKING):
+        """The connection ended, broke or never came up: the attempt's outcome."""
+        before, self.state = self.state, AttemptState.OVER
+        if before in (AttemptState.CONNECTING, AttemptState.ASKING):
             return Outcome.CONNECT_FAILED
-        return self._parting if before is LegState.STANDING else Outcome.RESET
+        return self._parting if before is AttemptState.STANDING else Outcome.RESET
 
     def time_out(self) -> Outcome:
-        """The proxy stops waiting. A leg whose first line was not wholly written has never run."""
-        before, self.state = self.state, LegState.OVER
-        if before in (LegState.CONNECTING, LegState.ASKING):
+        """The proxy stops waiting. An attempt whose first line was not wholly written has never run."""
+        before, self.state = self.state, AttemptState.OVER
+        if before in (AttemptState.CONNECTING, AttemptState.ASKING):
             return Outcome.CONNECT_FAILED
         return Outcome.TIMEOUT
--- a/ironmill_lab/floors.py
+++ b/ironmill_lab/floors.py
@@ -77,8 +77,8 @@
         client, _ = listener.accept()
     except BlockingIOError:
         return
-    leg = socket.create_connection(target)
-    for sock, peer in ((client, leg), (leg, client)):
+    attempt = socket.create_connection(target)
+    for sock, peer in ((client, attempt), (attempt, client)):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         socks[sock.fileno()] = sock
         other[sock.fileno()] = peer.fileno()
@@ -99,12 +99,12 @@
 
     def relay(client: Stream) -> None:
         try:
-            leg = Stream.connect(scheduler, target, 5.0)
+            attempt = Stream.connect(scheduler, target, 5.0)
         except (OSError, TimedOutError):
             client.close()
             return
-        scheduler.spawn(copy, leg, client)
-        copy(client, leg)
+        scheduler.spawn(copy, attempt, client)
+        copy(client, attempt)
 
     def take(stream: Stream) -> None:
         scheduler.spawn(relay, stream)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -57,12 +57,12 @@
 
 def stand(town: Town, token: bytes) -> tuple[Stream, Stream]:
     client = town.client(auth(token) + OPEN.replace(b"1a", b"%x" % random.getrandbits(60)))
-    leg = town.leg()
-    first = read_line(leg)
+    attempt = town.attempt()
+    first = read_line(attempt)
     assert first.startswith(b"OPEN ")  # the credential goes no further
-    leg.send(b"UP r1\r\n")
+    attempt.send(b"UP r1\r\n")
     assert read_line(client) == b"UP r1\r\n"
-    return client, leg
+    return client, attempt
 
 
 def test_a_token_in_segments_of_one_byte_is_served_and_goes_no_further(keys: Keys) -> None:
@@ -71,9 +71,9 @@
         assert read_line(client) == b"PONG\r\n"
         for at in range(len(line := auth(keys.token()) + OPEN)):
             client.send(line[at : at + 1])
-        leg = town.leg()
-        assert read_line(leg).startswith(b"OPEN 1a 2b c=read,")
-        leg.send(b"UP r1\r\nhey\r\n")
+        attempt = town.attempt()
+        assert read_line(attempt).startswith(b"OPEN 1a 2b c=read,")
+        attempt.send(b"UP r1\r\nhey\r\n")
         client.close()
         town.until(lambda: not town.gateway.busy())
         assert town.callers is not None
@@ -82,7 +82,7 @@
     town_of(identity(), keys.ring()).run(story)
 
 
-def test_who_is_not_known_gets_one_answer_and_no_leg(keys: Keys) -> None:
+def test_who_is_not_known_gets_one_answer_and_no_attempt(keys: Keys) -> None:
     def story(town: Town) -> None:
         assert town.callers is not None
         assert answer(town, OPEN) == b"ERR\r\n"
@@ -94,7 +94,7 @@
         assert answer(town, b"AUTH \r\n" + OPEN) == b"ERR\r\n"
         assert answer(town, b"AUTH " + b"x" * 5000) == b"ERR\r\n"
         assert town.arrived == []
-        assert town.gateway.counts.get("legs", 0) == 0
+        assert town.gateway.counts.get("attempts", 0) == 0
         counts = town.callers.counts()
         assert counts["refused missing"] == 1
         assert counts["refused expired"] == 1
@@ -111,13 +111,13 @@
         inner = town.gateway._balancer.handle
         town.gateway._balancer.handle = lambda event, now: (seen.append(event), inner(event, now))[1]
         first = town.client(OPEN)
-        leg = town.leg()
-        read_line(leg)
-        leg.send(b"UP r1\r\n")
+        attempt = town.attempt()
+        read_line(attempt)
+        attempt.send(b"UP r1\r\n")
         assert read_line(first) == b"UP r1\r\n"
         assert answer(town, OPEN.replace(b"1a", b"1b")).startswith(b"BUSY 1000")
         first.close()
-        assert leg.receive(5.0) == b""
+        assert attempt.receive(5.0) == b""
         town.until(lambda: not town.gateway.busy())
         client, _ = stand(town, keys.token())
         client.close()
@@ -149,9 +149,9 @@
             town.until(lambda: len(town.gateway.standing()) == 2)
         town.scheduler.sleep(0.1)
         for at in range(5) if within is None else (2, 4):
-            client, leg = stood[at]
+            client, attempt = stood[at]
             client.send(b"hey\r\n")
-            assert read_line(leg) == b"hey\r\n"
+            assert read_line(attempt) == b"hey\r\n"
 
     town_of(identity(move_within=within), keys.ring()).run(story)
 
@@ -361,10 +361,10 @@
 
         town.scheduler.spawn(flood)
         for at in range(30):
-            client, leg = stand(town, keys.token(sub=f"farm-{at}"))
+            client, attempt = stand(town, keys.token(sub=f"farm-{at}"))
             words["good", "UP"] += 1
             client.close()
-            leg.close()
+            attempt.close()
         town.until(lambda: sum(words.values()) == 230)
         # The valid ones cost a signature each; of the flood only what its budget allows was looked at.
         allowed = SUSPECT_AFTER + BURST + 1
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -24,33 +24,33 @@
 
 
 def served(town: Town) -> None:
-    client, leg = town.pair()
+    client, attempt = town.pair()
     client.send(b"hey\r\n")
-    assert read_line(leg) == b"hey\r\n"
+    assert read_line(attempt) == b"hey\r\n"
     client.close()
-    assert leg.receive(5.0) == b""
-    leg.close()
+    assert attempt.receive(5.0) == b""
+    attempt.close()
 
 
 def ended_by_the_server(town: Town) -> None:
-    client, leg = town.pair()
-    leg.send(b"BYE\r\n")
-    leg.close_gently(1.0)
+    client, attempt = town.pair()
+    attempt.send(b"BYE\r\n")
+    attempt.close_gently(1.0)
     assert read_line(client) == b"BYE\r\n"
     client.close()
 
 
 def moved(town: Town) -> None:
-    client, leg = town.pair()
+    client, attempt = town.pair()
     town.gateway.standing()[0].holder.move()
     assert read_line(client) == b"MOVE\r\n"
     client.close()
-    leg.close()
+    attempt.close()
 
 
 def broken(town: Town) -> None:
-    client, leg = town.pair()
-    leg.abort()
+    client, attempt = town.pair()
+    attempt.abort()
     with pytest.raises(ConnectionError):
         client.receive(5.0)
     client.close()
@@ -65,10 +65,10 @@
 def declined(town: Town) -> None:
     client = town.client(OPEN)
     for _ in range(3):
-        leg: Stream = town.leg()
-        read_line(leg)
-        leg.send(b"BUSY\r\n")
-        leg.close_gently(1.0)
+        attempt: Stream = town.attempt()
+        read_line(attempt)
+        attempt.send(b"BUSY\r\n")
+        attempt.close_gently(1.0)
         if town.gateway.pending() == 0:
             break
     assert read_line(client).startswith(b"BUSY")
@@ -77,12 +77,12 @@
 
 def left(town: Town) -> None:
     client = town.client(OPEN)
-    leg = town.leg()
-    read_line(leg)
+    attempt = town.attempt()
+    read_line(attempt)
     client.abort()
     with pytest.raises(ConnectionError):
-        leg.receive(5.0)
-    leg.close()
+        attempt.receive(5.0)
+    attempt.close()
 
 
 @pytest.mark.parametrize(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,7 +13,7 @@
 
 from ironmill.config import Config
 from ironmill.delay import SILENT_AFTER, DelayMeter
-from ironmill.gateway import ANSWER_OVERDUE, Gateway, Leg
+from ironmill.gateway import ANSWER_OVERDUE, Attempt, Gateway
 from ironmill.routing_table import Listed, Routing, RoutingTable, parse_routing
 from ironmill.timers import TimerQueue
 from stonegap.balance import Balancer
@@ -58,13 +58,13 @@
     """Remembers what it was ordered."""
 
     def __init__(self) -> None:
-        self.legs: list[Leg] = []
+        self.attempts: list[Attempt] = []
         self.answers: list[str] = []
         self.moves = 0
 
-    def start_leg(self, leg: Leg) -> None:
-        assert all(before.ended for before in self.legs), "legs overlap"
-        self.legs.append(leg)
+    def start_attempt(self, attempt: Attempt) -> None:
+        assert all(before.ended for before in self.attempts), "attempts overlap"
+        self.attempts.append(attempt)
 
     def decline(self, retry_after: float) -> None:
         self.answers.append(f"BUSY {retry_after:.3f}")
@@ -82,7 +82,7 @@
 
 
 class GatewayMachine(RuleBasedStateMachine):
-    """A model of requests: one answer each, one end for each leg, never two legs at once."""
+    """A model of requests: one answer each, one end for each attempt, never two attempts at once."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -109,8 +109,9 @@
         assert self.gateway.pending() == 0
         self.patch.undo()
 
-    def out(self) -> list[Leg]:
-        return [holder.legs[-1] for holder, _ in self.holders if holder.legs and not holder.legs[-1].ended]
+    def out(self) -> list[Attempt]:
+        last = [holder.attempts[-1] for holder, _ in self.holders if holder.attempts]
+        return [attempt for attempt in last if not attempt.ended]
 
     @rule(wait=st.sampled_from([0.0, 0.05, 1.0, None]), mid=st.booleans())
     def take_request(self, wait: float | None, mid: bool) -> None:
@@ -121,18 +122,18 @@
     @precondition(lambda self: self.out())
     @rule(pick=st.integers(0, 99))
     def stand(self, pick: int) -> None:
-        leg = self.out()[pick % len(self.out())]
-        owed = not leg.request.over
-        assert self.gateway.up(leg) == owed
+        attempt = self.out()[pick % len(self.out())]
+        owed = not attempt.request.over
+        assert self.gateway.up(attempt) == owed
         if owed:
-            self.up.add(leg.request.id)
+            self.up.add(attempt.request.id)
 
     @precondition(lambda self: self.out())
     @rule(pick=st.integers(0, 99), outcome=st.sampled_from([o for o in Outcome if o is not Outcome.OK]))
     def end(self, pick: int, outcome: Outcome) -> None:
-        leg = self.out()[pick % len(self.out())]
-        self.gateway.ended(leg, outcome)
-        self.gateway.ended(leg, Outcome.RESET)  # told once, however often it is called
+        attempt = self.out()[pick % len(self.out())]
+        self.gateway.ended(attempt, outcome)
+        self.gateway.ended(attempt, Outcome.RESET)  # told once, however often it is called
 
     @precondition(lambda self: self.holders)
     @rule(pick=st.integers(0, 99))
@@ -141,8 +142,8 @@
         if not request.over:
             self.left.add(request.id)
         self.gateway.left(request)
-        if holder.legs:
-            self.gateway.ended(holder.legs[-1], Outcome.CANCELLED)
+        if holder.attempts:
+            self.gateway.ended(holder.attempts[-1], Outcome.CANCELLED)
 
     @rule(span=st.sampled_from([0.01, 0.2, 3.0]))
     def wait(self, span: float) -> None:
@@ -153,11 +154,11 @@
         self.gateway.routing(Routing(2, full, (listed("s-2", stage),)))
 
     @invariant()
-    def one_end_for_each_leg(self) -> None:
+    def one_end_for_each_attempt(self) -> None:
         ends = [(event.id, event.attempt) for event in self.fed if isinstance(event, Ended)]
         assert len(ends) == len(set(ends))
-        legs = [leg for holder, _ in self.holders for leg in holder.legs]
-        assert set(ends) >= {(leg.request.id, leg.number) for leg in legs if leg.ended}
+        attempts = [attempt for holder, _ in self.holders for attempt in holder.attempts]
+        assert set(ends) >= {(attempt.request.id, attempt.number) for attempt in attempts if attempt.ended}
 
 
 TestGateway = GatewayMachine.TestCase
@@ -180,22 +181,22 @@
     assert holder.answers == ["ERR"]
 
 
-def test_a_leg_may_not_start_late_on_a_leaving_server(timers: FakeTimers) -> None:
-    """Guards the drain rule for a leg that was ordered in time but is slow to connect."""
+def test_a_attempt_may_not_start_late_on_a_leaving_server(timers: FakeTimers) -> None:
+    """Guards the drain rule for an attempt that was ordered in time but is slow to connect."""
     gateway, holder = Gateway(config(Routing(1, True, (listed("s-1"),))), timers), FakeHolder()
     gateway.take_request(holder, "read", 1.0, gateway.now())
-    (leg,) = holder.legs
+    (attempt,) = holder.attempts
     gateway.routing(Routing(2, False, (listed("s-1", Stage.DRAINING),)))
-    assert gateway.may_start(leg)
+    assert gateway.may_start(attempt)
     gateway.routing(Routing(3, False, (listed("s-1", Stage.GONE),)))
     timers.run(0.24)
-    assert not gateway.may_start(leg)
+    assert not gateway.may_start(attempt)
     gateway.routing(Routing(4, False, (listed("s-1"),)))
-    assert gateway.may_start(leg)
+    assert gateway.may_start(attempt)
     gateway.routing(Routing(5, True, (), age=0.15))  # counts from when it was told, not when believed
-    assert gateway.may_start(leg)
+    assert gateway.may_start(attempt)
     timers.run(0.06)
-    assert not gateway.may_start(leg)
+    assert not gateway.may_start(attempt)
 
 
 def test_a_carried_connection_is_told_also_at_a_retired_server(
@@ -207,8 +208,8 @@
     monkeypatch.setattr(Balancer, "handle", lambda b, e, now: fed.append(e) or handle(b, e, now))
     host = gateway.server("s-1")
     assert host is not None
-    leg = gateway.carry(FakeHolder(), host, "read", key=5)
-    gateway.ended(leg, Outcome.OK)
+    attempt = gateway.carry(FakeHolder(), host, "read", key=5)
+    gateway.ended(attempt, Outcome.OK)
     carried, ended = fed
     assert isinstance(carried, Carried)
     assert isinstance(ended, Ended)
@@ -216,7 +217,7 @@
     assert gateway.standing() == []
 
 
-def test_client_that_left_is_told_before_the_end_of_its_leg(
+def test_client_that_left_is_told_before_the_end_of_its_attempt(
     timers: FakeTimers, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     gateway, holder, fed = Gateway(config(), timers), FakeHolder(), list[Event]()
@@ -224,7 +225,7 @@
     handle = Balancer.handle
     monkeypatch.setattr(Balancer, "handle", lambda b, e, now: fed.append(e) or handle(b, e, now))
     gateway.left(request)
-    gateway.ended(holder.legs[0], Outcome.CANCELLED)
+    gateway.ended(holder.attempts[0], Outcome.CANCELLED)
     assert [type(event) for event in fed] == [Abandoned, Ended]
     assert isinstance(fed[1], Ended)
     assert fed[1].final
@@ -315,14 +316,14 @@
             parse_routing(Tree({"rev": 3, "targets": [target | {"state": "up"} | bad]}))
 
 
-def test_legs_end_with_the_attempts_that_the_settings_allow(timers: FakeTimers) -> None:
+def test_attempts_end_with_the_attempts_that_the_settings_allow(timers: FakeTimers) -> None:
     gateway, holder = Gateway(config(), timers), FakeHolder()
     gateway.take_request(holder, "read", 1.9, gateway.now())
     for step in itertools.count():
         if holder.answers or step > 50:
             break
-        if holder.legs and not holder.legs[-1].ended:
-            gateway.ended(holder.legs[-1], Outcome.CONNECT_FAILED)
+        if holder.attempts and not holder.attempts[-1].ended:
+            gateway.ended(holder.attempts[-1], Outcome.CONNECT_FAILED)
         timers.run(0.02)
-    assert len(holder.legs) == SETTINGS.max_attempts
+    assert len(holder.attempts) == SETTINGS.max_attempts
     assert holder.answers[0].startswith("BUSY 0.")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -91,7 +91,7 @@
             self.scheduler.sleep(0.001)
         return stream
 
-    def leg(self) -> Stream:
+    def attempt(self) -> Stream:
         """The next connection that comes to a server."""
         self.until(lambda: bool(self.arrived))
         return self.arrived.pop(0)
@@ -106,11 +106,11 @@
     def pair(self) -> tuple[Stream, Stream]:
         """A client whose connection stands, and its server's end."""
         client = self.client(OPEN)
-        leg = self.leg()
-        read_line(leg)
-        leg.send(b"UP r1\r\n")
+        attempt = self.attempt()
+        read_line(attempt)
+        attempt.send(b"UP r1\r\n")
         assert read_line(client) == b"UP r1\r\n"
-        return client, leg
+        return client, attempt
 
 
 def pace() -> CallPace:
@@ -133,18 +133,18 @@
         assert read_line(client) == b"PONG\r\n"
         client.send(OPEN[:9])
         client.send(OPEN[9:])
-        leg = town.leg()
-        first = read_line(leg)
+        attempt = town.attempt()
+        first = read_line(attempt)
         head, _, tail = first.partition(b"d=")
         assert (head, tail.partition(b",")[2]) == (b"OPEN 1a 2b c=read,", b"g=3c\r\n")
         assert 0 < int(tail.partition(b",")[0]) < 1500
-        leg.send(b"UP r")
-        leg.send(b"1\r\nmore\r\nhal")
+        attempt.send(b"UP r")
+        attempt.send(b"1\r\nmore\r\nhal")
         data = client.receive(5.0)
         client.send(b"hey\r\n")
-        assert read_line(leg) == b"hey\r\n"
-        leg.send(b"f\r\nBYE\r\n")
-        leg.close_gently(1.0)
+        assert read_line(attempt) == b"hey\r\n"
+        attempt.send(b"f\r\nBYE\r\n")
+        attempt.close_gently(1.0)
         while piece := client.receive(5.0):
             data += piece
         assert data == b"UP r1\r\nmore\r\nhalf\r\nBYE\r\n"
@@ -174,27 +174,27 @@
     Town().run(story)
 
 
-def test_more_than_a_line_before_the_answer_ends_the_leg() -> None:
+def test_more_than_a_line_before_the_answer_ends_the_attempt() -> None:
     """Guards against being served for hundreds of commands at once."""
     def story(town: Town) -> None:
         client = town.client(OPEN)
-        leg = town.leg()
-        read_line(leg)
+        attempt = town.attempt()
+        read_line(attempt)
         client.send(OPEN)
         assert read_line(client) == b"ERR\r\n"
-        assert leg.receive(5.0) == b""
+        assert attempt.receive(5.0) == b""
 
     Town().run(story)
 
 
 def test_an_id_that_is_open_belongs_to_the_first() -> None:
     def story(town: Town) -> None:
-        client, leg = town.pair()
+        client, attempt = town.pair()
         assert read_line(town.client(OPEN)) == b"ERR\r\n"
         client.send(b"hey\r\n")
-        assert read_line(leg) == b"hey\r\n"
+        assert read_line(attempt) == b"hey\r\n"
         client.close()
-        assert leg.receive(5.0) == b""
+        assert attempt.receive(5.0) == b""
         town.until(lambda: not town.admission.used())
         assert town.pair()  # the id is free again
 
@@ -236,9 +236,9 @@
         pairs = []
         for at in range(town.admission.most // 2):
             pairs.append(town.client(OPEN.replace(b"1a", b"%x" % at)))
-            leg = town.leg()
-            read_line(leg)
-            leg.send(b"UP r1\r\n")
+            attempt = town.attempt()
+            read_line(attempt)
+            attempt.send(b"UP r1\r\n")
         late = town.client(OPEN.replace(b"1a", b"ffff"))
         assert read_line(late).startswith(b"BUSY ")
         pairs[0].close()
@@ -280,37 +280,37 @@
         answer = read_line(client)
         assert answer.startswith(b"BUSY ")
         assert int(answer.split()[1]) > 0
-        assert town.gateway.counts["leg CONNECT_FAILED"] >= 2
+        assert town.gateway.counts["attempt CONNECT_FAILED"] >= 2
         town.listeners = []
 
     Town(2).run(story)
 
 
-def test_an_answer_other_than_up_brings_the_next_leg_when_the_first_is_closed() -> None:
+def test_an_answer_other_than_up_brings_the_next_attempt_when_the_first_is_closed() -> None:
     def story(town: Town) -> None:
         client = town.client(OPEN)
         for answer in (b"BUSY\r\n", b"ERR\r\n"):
-            leg = town.leg()
-            read_line(leg)
-            leg.send(answer)
-            assert leg.receive(5.0) == b""  # closed, and only then does the next one come
-            leg.close()
-        leg = town.leg()
-        read_line(leg)
-        leg.send(b"UP r2\r\n")
+            attempt = town.attempt()
+            read_line(attempt)
+            attempt.send(answer)
+            assert attempt.receive(5.0) == b""  # closed, and only then does the next one come
+            attempt.close()
+        attempt = town.attempt()
+        read_line(attempt)
+        attempt.send(b"UP r2\r\n")
         assert read_line(client) == b"UP r2\r\n"
 
     Town(3).run(story)
 
 
-def test_a_client_that_leaves_before_up_takes_its_leg_along() -> None:
+def test_a_client_that_leaves_before_up_takes_its_attempt_along() -> None:
     def story(town: Town) -> None:
         client = town.client(OPEN)
-        leg = town.leg()
-        read_line(leg)
+        attempt = town.attempt()
+        read_line(attempt)
         client.close()
-        assert leg.receive(5.0) == b""
-        assert town.gateway.counts == {"legs": 1, "leg CANCELLED": 1}
+        assert attempt.receive(5.0) == b""
+        assert town.gateway.counts == {"attempts": 1, "attempt CANCELLED": 1}
         counted = ClassFigures(taken=1, abandoned=1, upstream_tries=1)
         assert town.gateway.figures.classes["read"] == counted
 
@@ -319,23 +319,23 @@
 
 def test_each_side_ends_the_other_in_the_same_way() -> None:
     def story(town: Town) -> None:
-        client, leg = town.pair()
-        leg.abort()
+        client, attempt = town.pair()
+        attempt.abort()
         with pytest.raises(ConnectionResetError):
             client.receive(5.0)
-        client, leg = town.pair()
+        client, attempt = town.pair()
         client.abort()
         with pytest.raises(ConnectionResetError):
-            while leg.receive(5.0):
+            while attempt.receive(5.0):
                 pass
-        client, leg = town.pair()
+        client, attempt = town.pair()
         client.send(b"last\r\n")
         client.finish()
-        assert read_line(leg) == b"last\r\n"
-        assert leg.receive(5.0) == b""
-        leg.send(b"BYE\r\n")  # a half-closed connection still takes what is on its way
+        assert read_line(attempt) == b"last\r\n"
+        assert attempt.receive(5.0) == b""
+        attempt.send(b"BYE\r\n")  # a half-closed connection still takes what is on its way
         assert read_line(client) == b"BYE\r\n"
-        leg.close()
+        attempt.close()
         assert client.receive(5.0) == b""
         town.until(lambda: town.gateway.counts.get("standing OK") == 1)
         assert town.gateway.counts["standing RESET"] == 1
@@ -346,19 +346,19 @@
 
 def test_move_waits_for_the_line_under_way() -> None:
     def story(town: Town) -> None:
-        client, leg = town.pair()
-        leg.send(b"ha")
+        client, attempt = town.pair()
+        attempt.send(b"ha")
         assert client.receive(5.0) == b"ha"
         (request,) = town.gateway.standing()
         request.holder.move()
         town.scheduler.sleep(0.02)
-        leg.send(b"lf\r\n")
+        attempt.send(b"lf\r\n")
         data = b""
         while piece := client.receive(5.0):
             data += piece
         assert data == b"lf\r\nMOVE\r\n"
         client.close()
-        assert leg.receive(5.0) == b""
+        assert attempt.receive(5.0) == b""
 
     Town().run(story)
 
@@ -367,8 +367,8 @@
     monkeypatch.setattr(client_module, "MOVE_WAIT", 0.05)
 
     def story(town: Town) -> None:
-        client, leg = town.pair()
-        leg.send(b"ha")
+        client, attempt = town.pair()
+        attempt.send(b"ha")
         assert client.receive(5.0) == b"ha"
         (request,) = town.gateway.standing()
         request.holder.move()
@@ -397,15 +397,15 @@
     monkeypatch.setattr(DelayMeter, "answered", lambda self, id_, count: seen.append(count))
 
     def story(town: Town) -> None:
-        client, leg = town.pair()
+        client, attempt = town.pair()
         total = 40_000_000
         sent = [0]
 
         def pour() -> None:
             while sent[0] < total:
-                leg.send(b"z" * CHUNK)
+                attempt.send(b"z" * CHUNK)
                 sent[0] += CHUNK
-            leg.close_gently(5.0)
+            attempt.close_gently(5.0)
 
         town.scheduler.spawn(pour)
         town.scheduler.sleep(0.3)
@@ -424,30 +424,30 @@
     monkeypatch.setattr("ironmill.delay.SILENT_AFTER", 0.6)
 
     def story(town: Town) -> None:
-        client, leg = town.pair()
+        client, attempt = town.pair()
         client.send(b"hey\r\n")
-        assert read_line(leg) == b"hey\r\n"
-        poured = town.scheduler.spawn(leg.send, b"z" * 40_000_000 + b"\r\n")
+        assert read_line(attempt) == b"hey\r\n"
+        poured = town.scheduler.spawn(attempt.send, b"z" * 40_000_000 + b"\r\n")
         town.scheduler.sleep(1.0)
         assert "silent" not in town.gateway.counts
         while not client.receive(5.0).endswith(b"\r\n"):
             pass
         client.send(b"you\r\n")  # measured again from here on
-        assert read_line(leg) == b"you\r\n"
+        assert read_line(attempt) == b"you\r\n"
         town.until(lambda: town.gateway.counts.get("silent") == 1)
         town.scheduler.kill(poured)
 
     Town().run(story)
 
 
-def test_a_leg_ordered_in_time_but_late_to_connect_sends_nothing() -> None:
+def test_a_attempt_ordered_in_time_but_late_to_connect_sends_nothing() -> None:
     """Guards the drain rule: what counts is the first byte."""
     def story(town: Town) -> None:
         gone = Listed("s-0", *town.listeners[0].address, Stage.DRAINING, "a", 0, 1.0, 0.0)
-        town.gateway.may_start = lambda leg: False  # type: ignore[method-assign]
+        town.gateway.may_start = lambda attempt: False  # type: ignore[method-assign]
         client = town.client(OPEN)
-        leg = town.leg()
-        assert leg.receive(5.0) == b""
+        attempt = town.attempt()
+        assert attempt.receive(5.0) == b""
         town.gateway.routing(Routing(2, False, (gone,)))
         assert read_line(client).startswith(b"BUSY")
 
@@ -459,15 +459,15 @@
         at = b"OPEN 1a 2b c=read,d=900,at=s-1\r\n"
         client = town.client(at)
         for answer in (b"BUSY\r\n", b"UP r9\r\n"):  # it is tried again until it is up
-            leg = town.leg()
-            assert read_line(leg) == at
-            leg.send(answer)
+            attempt = town.attempt()
+            assert read_line(attempt) == at
+            attempt.send(answer)
         assert read_line(client) == b"UP r9\r\n"
         (request,) = town.gateway.standing()
-        assert request.leg is not None
-        assert request.leg.host.uid == "s-1"
+        assert request.attempt is not None
+        assert request.attempt.host.uid == "s-1"
         client.send(b"hey\r\n")
-        assert read_line(leg) == b"hey\r\n"
+        assert read_line(attempt) == b"hey\r\n"
 
     Town(2).run(story)
 
@@ -491,15 +491,15 @@
 
     def story(town: Town) -> None:
         Discovery(town.scheduler, town.listeners[0].address, told.append, pace).start()
-        agent = town.leg()
+        agent = town.attempt()
         asked = []
         for body in (empty % (41, b"true"), empty % (43, b"false"), b"{"):
             asked.append(read_line(agent).split(b" ")[1])
             agent.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
-        agent = town.leg()  # after nonsense it calls anew, from where it was
+        agent = town.attempt()  # after nonsense it calls anew, from where it was
         asked.append(read_line(agent).split(b" ")[1])
         agent.close()
-        asked.append(read_line(town.leg()).split(b" ")[1])
+        asked.append(read_line(town.attempt()).split(b" ")[1])
         watch, again = b"/api/targets?after=%d&wait_ms=1000", b"/api/targets?after=43&wait_ms=0"
         assert asked == [b"/api/targets", watch % 41, watch % 43, again, again]
 
@@ -526,7 +526,7 @@
         Discovery(
             town.scheduler, town.listeners[0].address, told.append, pace, 15, held=town.gateway.known_servers
         ).start()
-        agent = town.leg()
+        agent = town.attempt()
         asked = [read_line(agent).split(b" ")[1]]
         answer(agent, 16)
         asked.append(read_line(agent).split(b" ")[1])
@@ -542,7 +542,7 @@
         town.until(lambda: bool(told))
         assert asked == [b"/api/targets?after=15&wait_ms=1000", b"/api/targets"]
         if again in ("partly", "silent", "broken"):
-            agent = town.leg()  # it goes on from there
+            agent = town.attempt()  # it goes on from there
         assert read_line(agent).split(b" ")[1] == b"/api/targets?after=%d&wait_ms=1000" % told[0].revision
 
     Town().run(story)
@@ -556,7 +556,7 @@
 
     def story(town: Town) -> None:
         Discovery(town.scheduler, town.listeners[0].address, told.append, pace, 15).start()
-        answer(town.leg(), 16)
+        answer(town.attempt(), 16)
         town.until(lambda: bool(told))
 
     Town().run(story)
@@ -573,13 +573,13 @@
     def story(town: Town) -> None:
         address = town.listeners[0].address
         Discovery(town.scheduler, address, lambda routing: told.append(routing.revision), pace).start()
-        agent = town.leg()
+        agent = town.attempt()
         read_line(agent)
         for revision in (41, 42):
             answer(agent, revision)
             town.until(lambda: told[-1:] == [revision])  # noqa: B023
             asked = agent
-            agent = town.leg()  # on a connection of its own, for the last one brings nothing
+            agent = town.attempt()  # on a connection of its own, for the last one brings nothing
             assert b"after=%d&" % revision in read_line(agent)
             assert b"after=%d&" % revision in read_line(asked)
 
@@ -604,7 +604,7 @@
             b'HTTP/1.1 200 OK\r\nContent-Length: 36\r\n\r\n{"rev":16,"all":false,"targets":[4]}',
             b'HTTP/1.1 200 OK\r\nContent-Length: 35\r\n\r\n{"rev":17,"all":false,"targets":[]}',
         ):
-            agent = town.leg()
+            agent = town.attempt()
             wait, seen[:] = (0 if seen else 1000), [agent]  # the first waits for news, the next ask at once
             assert read_line(agent).split(b" ")[1] == b"/api/targets?after=15&wait_ms=%d" % wait
             agent.send(answer)
@@ -627,14 +627,14 @@
             town.scheduler, town.listeners[0].address, lambda routing: told.append(routing.revision), pace
         )
         discovery.start()
-        old = town.leg()
+        old = town.attempt()
         read_line(old)
         answer(old, 41)
         read_line(old)
         discovery.watch_at(town.listeners[1].address)
-        town.leg()
+        town.attempt()
         discovery.watch_at(town.listeners[2].address)  # before the one in between has answered
-        new = town.leg()
+        new = town.attempt()
         assert read_line(new).startswith(b"GET /api/targets HTTP")
         answer(old, 42)  # still heard, for the new one has said nothing yet
         town.until(lambda: told == [41, 42])
@@ -671,10 +671,10 @@
         os.kill(os.getpid(), signal.SIGHUP)
         town.scheduler.sleep(0.01)
         late = town.client(OPEN.replace(b"1a", b"1b"))  # still accepted
-        leg = town.leg()
-        read_line(leg)
+        attempt = town.attempt()
+        read_line(attempt)
         town.scheduler.sleep(0.2)
-        leg.send(b"UP r5\r\n")
+        attempt.send(b"UP r5\r\n")
         out["late"] = read_line(late)
         standing.send(b"hey\r\n")  # served meanwhile
         out["line"] = read_line(held_by)
@@ -694,11 +694,11 @@
 def test_at_the_end_what_is_still_owed_is_declined() -> None:
     def story(town: Town) -> None:
         client = town.client(OPEN)
-        leg = town.leg()
-        read_line(leg)
+        attempt = town.attempt()
+        read_line(attempt)
         town.gateway.settle_all()
         assert read_line(client).startswith(b"BUSY ")
-        assert leg.receive(5.0) == b""
+        assert attempt.receive(5.0) == b""
         assert not town.gateway.pending()
 
     Town().run(story)
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -214,7 +214,7 @@
     assert gateway.counts["probe OK"] == 1
     holder = FakeHolder()
     gateway.take_request(holder, "read", 1.0, gateway.now())
-    assert len(holder.legs) == 1
+    assert len(holder.attempts) == 1
 
 
 def test_answers_are_read_whole_and_bounded() -> None:
@@ -238,17 +238,17 @@
             driver.probe(host)  # one question at a time
 
         ask()
-        leg: Stream = town.leg()
+        attempt: Stream = town.attempt()
         for at in range(2):
-            assert read_line(leg) == b"STATS\r\n"
-            leg.send(b"PONG x0=%d\r\n" % at)
+            assert read_line(attempt) == b"STATS\r\n"
+            attempt.send(b"PONG x0=%d\r\n" % at)
             town.until(lambda: len(told) == at + 1)  # noqa: B023
             ask()
-        assert read_line(leg) == b"STATS\r\n"
-        leg.close()
+        assert read_line(attempt) == b"STATS\r\n"
+        attempt.close()
         town.until(lambda: len(told) == 3)
         ask()
-        assert read_line(town.leg()) == b"STATS\r\n"
+        assert read_line(town.attempt()) == b"STATS\r\n"
 
     Town().run(story)
     assert told == [(Outcome.OK, (("x0", 0.0),)), (Outcome.OK, (("x0", 1.0),)), (Outcome.RESET, ())]
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -22,7 +22,7 @@
 )
 from ironmill.protocol.http import HttpError, ResponseParser
 from ironmill.protocol.lines import LIMIT, Lines, LineTooLongError
-from ironmill.protocol.server import Declined, LegState, Relayed, ServerSide, Up, parse_report
+from ironmill.protocol.server import AttemptState, Declined, Relayed, ServerSide, Up, parse_report
 from stonegap.interface import Outcome
 
 FIRST = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=2000,g=5c0f6e1a2b3d4c59\r\n"
@@ -127,31 +127,31 @@
 TestClient = ClientMachine.TestCase
 
 
-class LegMachine(RuleBasedStateMachine):
-    """A model of a leg: its outcome says truly whether it can have run."""
+class AttemptMachine(RuleBasedStateMachine):
+    """A model of an attempt: its outcome says truly whether it can have run."""
 
     def __init__(self) -> None:
         super().__init__()
         self.side = ServerSide(FIRST)
         self.left = len(FIRST)
-        self.state = LegState.CONNECTING
+        self.state = AttemptState.CONNECTING
         self.expected = Outcome.RESET  # at the end of a standing connection
 
-    @precondition(lambda self: self.state is LegState.CONNECTING)
+    @precondition(lambda self: self.state is AttemptState.CONNECTING)
     @rule()
     def connect(self) -> None:
         assert self.side.connected() == FIRST
-        self.state = LegState.ASKING
+        self.state = AttemptState.ASKING
 
-    @precondition(lambda self: self.state is LegState.ASKING)
+    @precondition(lambda self: self.state is AttemptState.ASKING)
     @rule(count=st.integers(1, 80))
     def write(self, count: int) -> None:
         self.left -= min(count, self.left)
         assert len(self.side.wrote(min(count, len(self.side.unwritten)))) == self.left
         if self.left == 0:
-            self.state = LegState.WAITING
+            self.state = AttemptState.WAITING
 
-    @precondition(lambda self: self.state is LegState.WAITING)
+    @precondition(lambda self: self.state is AttemptState.WAITING)
     @rule(answer=st.sampled_from(["UP r1", "BUSY", "BUSY inflight=7", "ERR", "BYE", "MOVE", "SYNTAX", "NO"]))
     def answer(self, answer: str) -> None:
         line = answer.encode() + b"\r\n"
@@ -161,14 +161,14 @@
             assert event == Up(line, b"later")
             assert self.side.receive(event.later) == [Relayed(b"later", 0, ())]
             assert self.side.receive(b"\r\n") == [Relayed(b"\r\n", 1, ())]
-            self.state = LegState.STANDING
+            self.state = AttemptState.STANDING
         else:
             outcomes = {"BUSY": Outcome.FULL, "BYE": Outcome.OK, "MOVE": Outcome.CANCELLED}
             assert event == Declined(outcomes.get(answer.split(" ")[0], Outcome.ERROR), line)
             assert self.side.report == ((("inflight", 7.0),) if "=" in answer else ())
-            self.state = LegState.OVER
+            self.state = AttemptState.OVER
 
-    @precondition(lambda self: self.state is LegState.STANDING)
+    @precondition(lambda self: self.state is AttemptState.STANDING)
     @rule(line=st.sampled_from([b"hey", b"LOAD 4.5", b"LOAD x", b"BYE", b"MOVE", b"BYE util=0.5"]))
     def relay(self, line: bytes) -> None:
         loads = (4.5,) if line == b"LOAD 4.5" else ()
@@ -176,20 +176,20 @@
         assert self.side.between_lines
         self.expected = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}.get(line.split()[0], Outcome.RESET)
 
-    @precondition(lambda self: self.state is not LegState.OVER)
+    @precondition(lambda self: self.state is not AttemptState.OVER)
     @rule(times_out=st.booleans())
     def end(self, times_out: bool) -> None:
-        times_out = times_out and self.state is not LegState.STANDING
+        times_out = times_out and self.state is not AttemptState.STANDING
         outcome = self.side.time_out() if times_out else self.side.end()
-        if self.state in (LegState.CONNECTING, LegState.ASKING):
+        if self.state in (AttemptState.CONNECTING, AttemptState.ASKING):
             assert outcome is Outcome.CONNECT_FAILED
-        elif self.state is LegState.STANDING:
+        elif self.state is AttemptState.STANDING:
             assert outcome is self.expected
         else:
             assert outcome is (Outcome.TIMEOUT if times_out else Outcome.RESET)
-        self.state = LegState.OVER
+        self.state = AttemptState.OVER
 
-    @precondition(lambda self: self.state is LegState.OVER)
+    @precondition(lambda self: self.state is AttemptState.OVER)
     @rule()
     def late_bytes(self) -> None:
         assert self.side.receive(b"UP r1\r\n") == []
@@ -201,7 +201,7 @@
         assert (self.side.unwritten == b"") == (self.left == 0)
 
 
-TestLeg = LegMachine.TestCase
+TestAttempt = AttemptMachine.TestCase
 
 
 def test_only_d_is_rewritten() -> None:
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -23,7 +23,7 @@
 from ironmill.net.client import ClientDriver
 from ironmill.net.discovery import Discovery
 from ironmill.net.probe import KEPT_MOST, ProbeDriver
-from ironmill.net.server import LegDriver
+from ironmill.net.server import AttemptDriver
 from ironmill.net.shutdown import Shutdown
 from ironmill.net.sockets import CHUNK, Stream, TimedOutError
 from ironmill.routing_table import Routing
@@ -93,7 +93,7 @@
             town.dial = slow
             town.until(lambda: town.gateway.figures.classes["read"].abandoned == 1)
         assert held[0].receive(5.0) == b""
-        assert town.gateway.counts == {"legs": 1, "leg CANCELLED": 1}
+        assert town.gateway.counts == {"attempts": 1, "attempt CANCELLED": 1}
 
     Town().run(story)
 
@@ -112,17 +112,17 @@
             town.dial = lambda address, timeout: town.scheduler.sleep(60.0)  # type: ignore[assignment,return-value]
         client = town.client(OPEN.replace(b"c=read", b"c=" + cls.encode()))
         if written:
-            leg = town.leg()
-            read_line(leg)
-        town.until(lambda: town.gateway.counts.get("legs") == 1)
+            attempt = town.attempt()
+            read_line(attempt)
+        town.until(lambda: town.gateway.counts.get("attempts") == 1)
         town.gateway.settle_all()
         assert not town.gateway.pending()
         assert read_line(client).split()[0] == answer
         assert client.receive(5.0) == b""
         if written:
-            assert leg.receive(5.0) == b""
+            assert attempt.receive(5.0) == b""
         town.until(lambda: not town.gateway.held())
-        assert town.gateway.counts["legs"] == 1
+        assert town.gateway.counts["attempts"] == 1
         assert "overdue" not in town.gateway.counts
 
     Town(wait_limits=LIMITS).run(story)
@@ -224,7 +224,7 @@
             ticket = town.admission.enter(lambda at_once: True)
             assert ticket is not None
             assert rest(town, second) == b"BUSY 500\r\n"
-            read_line(town.leg())
+            read_line(town.attempt())
             town.admission.gone(ticket)
 
     Town().run(story)
@@ -235,7 +235,7 @@
 
     def story(town: Town) -> None:
         with dialled(town, OPEN):
-            read_line(town.leg())
+            read_line(town.attempt())
 
     Town().run(story)
 
@@ -251,19 +251,19 @@
 
         def late(address: tuple[str, int], timeout: float) -> Stream:
             stream = dial(town.scheduler, address, timeout)
-            if town.gateway.counts["legs"] == 2:
+            if town.gateway.counts["attempts"] == 2:
                 town.scheduler.sleep(0.3)
             return stream
 
         town.dial = late
         client = town.client(OPEN.replace(b"c=read", b"c=write"))
-        first = town.leg()
+        first = town.attempt()
         read_line(first)
         first.abort()  # it may have run
-        second = town.leg()
+        second = town.attempt()
         assert second.receive(5.0) == b""
         assert read_line(client).split()[0] == answer
-        assert town.gateway.counts == {"legs": 2, "leg RESET": 1, "leg MOOT": 1}
+        assert town.gateway.counts == {"attempts": 2, "attempt RESET": 1, "attempt MOOT": 1}
 
     Town(2, settings=settings, wait_limits=LIMITS).run(story)
 
@@ -280,7 +280,7 @@
 def test_every_accepted_connection_sends_small_writes_at_once() -> None:
     def story(town: Town) -> None:
         with socket.create_connection(town.listeners[0].address):
-            assert town.leg()._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            assert town.attempt()._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
     Town().run(story)
 
@@ -299,7 +299,7 @@
 
     def story(town: Town) -> None:
         Discovery(town.scheduler, town.listeners[0].address, lambda _: None, pace).start()
-        agent = town.leg()
+        agent = town.attempt()
         agent.send(b"HTTP/1.1 200 OK\r\n" + (b"Content-Length: 9999\r\n\r\n" if part == "body" else b""))
 
         def drip() -> None:
@@ -308,7 +308,7 @@
                 town.scheduler.sleep(0.01)
 
         dripper = town.scheduler.spawn(drip)
-        assert asked(town.leg()) == b"/api/targets"  # on a new connection
+        assert asked(town.attempt()) == b"/api/targets"  # on a new connection
         town.scheduler.kill(dripper)
 
     Town().run(story)
@@ -321,7 +321,7 @@
 
     def story(town: Town) -> None:
         Discovery(town.scheduler, town.listeners[0].address, told.append, pace).start()
-        agent = town.leg()
+        agent = town.attempt()
         asked(agent)
         if late:
             answer(agent, 41)
@@ -332,7 +332,7 @@
             new = b'{"rev":41,"all":true,"targets":[]}'
             head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
             agent.send(head % len(new) + new + head % len(old) + old)
-        agent = town.leg()  # asked for anew, on a connection that holds no old answers
+        agent = town.attempt()  # asked for anew, on a connection that holds no old answers
         assert asked(agent) == b"/api/targets?after=41&wait_ms=%d" % (0 if late else 1000)
         answer(agent, 7, ONE)  # a discovery that began anew is believed there
         town.until(lambda: told[-1].revision == 7)
@@ -353,7 +353,7 @@
     def story(town: Town) -> None:
         Discovery(town.scheduler, town.listeners[0].address, take, pace).start()
         for _ in range(2):
-            agent = town.leg()
+            agent = town.attempt()
             assert asked(agent) == b"/api/targets"
             answer(agent, 41, ONE)
         town.until(lambda: len(told) == 2)
@@ -367,11 +367,11 @@
 ) -> None:
     def story(town: Town) -> None:
         Discovery(town.scheduler, town.listeners[0].address, lambda _: None, pace).start()
-        agent = town.leg()
+        agent = town.attempt()
         asked(agent)
         answer(agent, 41)
         agent.close()  # before the next call is written
-        assert asked(town.leg()) == b"/api/targets?after=41&wait_ms=1000"
+        assert asked(town.attempt()) == b"/api/targets?after=41&wait_ms=1000"
 
     Town().run(story)
     assert not caplog.records
@@ -381,9 +381,9 @@
     """Where connections end at the proxy each of them comes so; turned away, all were lost."""
     def story(town: Town) -> None:
         client = town.client(b"OPEN 1a 2b c=read,d=4294967,g=3c,at=s-0\r\n")
-        leg = town.leg()
-        read_line(leg)
-        leg.send(b"UP r1\r\n")
+        attempt = town.attempt()
+        read_line(attempt)
+        attempt.send(b"UP r1\r\n")
         assert read_line(client) == b"UP r1\r\n"
 
     Town().run(story)
@@ -405,7 +405,7 @@
         held = []
         for at, line in enumerate((b"t=club,d=900", b"d=900", b"t=press,d=900,at=s-0")):
             held.append(town.client(b"OPEN %d 2b c=read,%b\r\n" % (at, line)))
-            held.append(town.leg())
+            held.append(town.attempt())
             read_line(held[-1])
             held[-1].send(b"UP r1\r\n")
         town.until(lambda: len(town.gateway.standing()) == 3)
@@ -428,21 +428,21 @@
 def test_a_server_s_end_gets_past_a_client_that_reads_nothing(end: str) -> None:
     """Nobody reads the server while the write to the client waits."""
     def story(town: Town) -> None:
-        client, leg = town.pair()
+        client, attempt = town.pair()
         (standing,) = town.gateway.standing()
         driver = standing.holder
         assert isinstance(driver, ClientDriver)
         if end == "reset":
-            blocked(town, leg)
-            leg.abort()
+            blocked(town, attempt)
+            attempt.abort()
         else:
             # So little is held on the way to the client that the rest waits at the proxy, the end behind it.
             driver._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             client._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             while not driver._writing:
-                leg.send(b"z" * 1024)
+                attempt.send(b"z" * 1024)
                 town.scheduler.sleep(0.0)
-            leg.finish()
+            attempt.finish()
         town.until(lambda: not town.gateway.held())
         assert not town.admission.used()
 
@@ -451,12 +451,12 @@
 
 def test_a_client_s_end_gets_past_a_server_that_reads_nothing() -> None:
     def story(town: Town) -> None:
-        client, leg = town.pair()
+        client, attempt = town.pair()
         blocked(town, client)
         client.abort()
         town.until(lambda: not town.gateway.held())
         with pytest.raises(ConnectionResetError):  # what came is not all that was sent
-            while leg.receive(5.0):
+            while attempt.receive(5.0):
                 pass
 
     Town().run(story)
@@ -468,13 +468,13 @@
     monkeypatch.setattr(sockets_module, "BLOCKED_WAIT", 0.4)
 
     def story(town: Town) -> None:
-        client, leg = town.pair()
+        client, attempt = town.pair()
         client._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
         (standing,) = town.gateway.standing()
         assert isinstance(standing.holder, ClientDriver)
         standing.holder._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
-        leg.send(b"z" * 800_000)
-        leg.finish()
+        attempt.send(b"z" * 800_000)
+        attempt.finish()
         got = 0
         while piece := client.receive(5.0):
             got += len(piece)
@@ -498,14 +498,14 @@
         assert host is not None
         for _ in range(2):
             driver.probe(host)
-            leg = town.leg()  # the second one is a new connection
-            read_line(leg)
-            leg.send(b"PONG x0=0.5\r\n")
+            attempt = town.attempt()  # the second one is a new connection
+            read_line(attempt)
+            attempt.send(b"PONG x0=0.5\r\n")
             town.until(lambda: bool(told))
             if between:
-                leg.send(between)
+                attempt.send(between)
             else:
-                leg.close()
+                attempt.close()
         town.until(lambda: len(told) == 2)
 
     Town().run(story)
@@ -521,14 +521,14 @@
         hosts = [host for at in range(KEPT_MOST + 3) if (host := town.gateway.server(f"s-{at}"))]
         for host in hosts:
             driver.probe(host)
-            held.append(town.leg())
+            held.append(town.attempt())
             if len(held) > 1:
                 read_line(held[-1])
                 held[-1].send(b"PONG x0=0.5\r\n")
                 town.until(lambda: len(told) == len(held) - 1)
         assert len(driver._streams) == KEPT_MOST
         assert read_line(held[0]) == b"STATS\r\n"  # a question is out there: it stays
-        assert [leg.ended() for leg in held[:5]] == [False, True, True, True, False]
+        assert [attempt.ended() for attempt in held[:5]] == [False, True, True, True, False]
         assert {outcome for outcome, _ in told} == {Outcome.OK}
 
     Town(KEPT_MOST + 3).run(story)
@@ -554,7 +554,7 @@
         prober(town, told).probe(host)
         town.until(lambda: bool(told))
         Discovery(town.scheduler, town.listeners[0].address, lambda _: None, pace).start()
-        assert asked(town.leg()) == b"/api/targets"
+        assert asked(town.attempt()) == b"/api/targets"
 
     Town().run(story)
     assert told == [(Outcome.MOOT, ())]
@@ -580,11 +580,11 @@
     def story(town: Town) -> None:
         client = town.client()
         monkeypatch.setattr(Balancer, "handle", recorded)
-        monkeypatch.setattr(LegDriver if step == "_ask" else Stream, step, fails)
+        monkeypatch.setattr(AttemptDriver if step == "_ask" else Stream, step, fails)
         client.send(OPEN)
-        leg = town.leg()
+        attempt = town.attempt()
         if step == "close_gently":
-            read_line(leg)
+            read_line(attempt)
             town.gateway.settle_all()
         assert read_line(client).split()[0] == (b"ERR" if step == "_ask" else b"BUSY")
         town.until(lambda: not town.admission.used())
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -199,7 +199,7 @@
     town = it.town
 
     def story() -> None:
-        client, leg = town.pair()
+        client, attempt = town.pair()
         asking = town.client(b"PING\r\n")
         assert read_line(asking) == b"PONG\r\n"
         assert it.ask("POST", "/admin/quiesce")[0] == 200
@@ -207,16 +207,16 @@
         assert read_line(asking) == b"DRAINING\r\n"
         # Whom the front still sends is served, and then sent away like the others.
         late = town.client(OPEN.replace(b"1a", b"1b"))
-        late_leg = town.leg()
-        read_line(late_leg)
-        late_leg.send(b"UP r2\r\n")
+        late_attempt = town.attempt()
+        read_line(late_attempt)
+        late_attempt.send(b"UP r2\r\n")
         assert read_line(late) == b"UP r2\r\n"
         # Nothing comes for this one; it has its answer at the end of the drain.
         stuck = town.client(OPEN.replace(b"1a", b"1c"))
-        stuck_leg = town.leg()
+        stuck_attempt = town.attempt()
         assert [read_line(one) for one in (client, late)] == [b"MOVE\r\n"] * 2
         assert read_line(stuck).startswith(b"BUSY ")
-        for stream in (client, late, stuck, leg, late_leg, stuck_leg):
+        for stream in (client, late, stuck, attempt, late_attempt, stuck_attempt):
             stream.close()
         assert read_line(town.client(OPEN.replace(b"1a", b"1d"))) == b"BUSY 200\r\n"
         town.until(lambda: not town.gateway.busy())
@@ -241,20 +241,20 @@
     town = it.town
 
     def story() -> None:
-        client, leg = town.pair()
+        client, attempt = town.pair()
         stuck = town.client(OPEN.replace(b"1a", b"1c"))
-        stuck_leg = town.leg()
+        stuck_attempt = town.attempt()
         it.ask("POST", "/admin/quiesce")
         assert read_line(stuck).startswith(b"BUSY ")  # what is owed is answered all the same
         town.scheduler.sleep(0.15)  # past the last look
         assert read_line(town.client(OPEN.replace(b"1a", b"1d"))) == b"BUSY 200\r\n"
         client.send(b"hey\r\n")
-        assert read_line(leg) == b"hey\r\n"
-        leg.send(b"you\r\n")
+        assert read_line(attempt) == b"hey\r\n"
+        attempt.send(b"you\r\n")
         assert read_line(client) == b"you\r\n"
         assert "moved" not in town.gateway.counts
         assert len(town.gateway.standing()) == 1
-        for stream in (client, leg, stuck, stuck_leg):
+        for stream in (client, attempt, stuck, stuck_attempt):
             stream.close()
 
     it.run(story)
@@ -269,11 +269,11 @@
         pairs = []
         for at in range(12):
             client = town.client(OPEN.replace(b"1a", b"%x" % (at + 32)))
-            leg = town.leg()
-            read_line(leg)
-            leg.send(b"UP r\r\n")
+            attempt = town.attempt()
+            read_line(attempt)
+            attempt.send(b"UP r\r\n")
             read_line(client)
-            pairs.append((client, leg))
+            pairs.append((client, attempt))
         it.ask("POST", "/admin/quiesce")
         town.until(lambda: len(town.gateway.standing()) < 12)
         it.ask("POST", "/admin/resume")
@@ -281,8 +281,8 @@
         assert left > 0
         town.scheduler.sleep(0.3)
         assert len(town.gateway.standing()) == left
-        for client, leg in pairs:
+        for client, attempt in pairs:
             client.close()
-            leg.close()
+            attempt.close()
 
     it.run(story)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -85,16 +85,16 @@
     def stand(self, *shown: str) -> tuple[TlsStream, Stream]:
         client = self.secure(*shown)
         client.send(OPEN.replace(b"1a", b"%x" % random.getrandbits(60)))
-        leg = self.leg()
-        assert read_line(leg).startswith(b"OPEN ")
-        leg.send(b"UP r1\r\n")
+        attempt = self.attempt()
+        assert read_line(attempt).startswith(b"OPEN ")
+        attempt.send(b"UP r1\r\n")
         assert read_line(client) == b"UP r1\r\n"
-        return client, leg
+        return client, attempt
 
 
-def crosses(town: Town, data: bytes, client: Stream, leg: Stream) -> None:
+def crosses(town: Town, data: bytes, client: Stream, attempt: Stream) -> None:
     """The data goes on unchanged, first to the server and then to the client."""
-    for source, to in ((client, leg), (leg, client)):
+    for source, to in ((client, attempt), (attempt, client)):
         town.scheduler.spawn(source.send, data)
         came = b""
         while len(came) < len(data):
@@ -111,10 +111,10 @@
 
     def story(town: Town) -> None:
         assert isinstance(town, TlsTown)
-        client, leg = town.stand()
-        crosses(town, data, client, leg)
-        leg.send(b"BYE\r\n")
-        leg.close_gently(1.0)
+        client, attempt = town.stand()
+        crosses(town, data, client, attempt)
+        attempt.send(b"BYE\r\n")
+        attempt.close_gently(1.0)
         assert read_line(client) == b"BYE\r\n"
         assert client.receive(5.0) == b""  # said, and not cut off
         client.close()
@@ -128,11 +128,11 @@
     """The rule on bounded buffers holds through TLS."""
     def story(town: Town) -> None:
         assert isinstance(town, TlsTown)
-        client, leg = town.stand()
+        client, attempt = town.stand()
         sent = 0
         with pytest.raises(TimedOutError):
             while sent < 1 << 28:
-                sent += leg.send_some(b"x" * 65536, 0.3)
+                sent += attempt.send_some(b"x" * 65536, 0.3)
         assert sent < 1 << 25
         came = 0
         while came < sent:
@@ -162,16 +162,16 @@
 @pytest.mark.parametrize(
     "end", [end_with_close_notify, end_without_close_notify, end_by_reset, end_by_rubbish]
 )
-def test_however_a_client_ends_its_leg_ends_and_nothing_is_left(
+def test_however_a_client_ends_its_attempt_ends_and_nothing_is_left(
     authority: Authority, end: Callable[[TlsStream], None]
 ) -> None:
     def story(town: Town) -> None:
         assert isinstance(town, TlsTown)
-        client, leg = town.stand()
+        client, attempt = town.stand()
         end(client)
         with contextlib.suppress(ConnectionResetError):
-            assert leg.receive(5.0) == b""
-        leg.close()
+            assert attempt.receive(5.0) == b""
+        attempt.close()
         until_gone(town)
         assert town.gateway.counts["standing CANCELLED"] == 1
 
@@ -181,12 +181,12 @@
 def test_a_half_closed_client_still_gets_what_comes(authority: Authority) -> None:
     def story(town: Town) -> None:
         assert isinstance(town, TlsTown)
-        client, leg = town.stand()
+        client, attempt = town.stand()
         client.finish()
-        assert leg.receive(5.0) == b""
-        leg.send(b"late\r\n")
+        assert attempt.receive(5.0) == b""
+        attempt.send(b"late\r\n")
         assert read_line(client) == b"late\r\n"
-        leg.close()
+        attempt.close()
         until_gone(town)
 
     TlsTown(authority).run(story)
@@ -195,8 +195,8 @@
 def test_a_server_that_breaks_breaks_the_client(authority: Authority) -> None:
     def story(town: Town) -> None:
         assert isinstance(town, TlsTown)
-        client, leg = town.stand()
-        leg.abort()
+        client, attempt = town.stand()
+        attempt.abort()
         with pytest.raises(ConnectionError):
             client.receive(5.0)
         until_gone(town)
@@ -283,7 +283,7 @@
             with pytest.raises(OSError):
                 town.secure(context=context)
         until_gone(town)
-        assert town.gateway.counts.get("legs", 0) == 0
+        assert town.gateway.counts.get("attempts", 0) == 0
 
     TlsTown(authority, minimum="1.3").run(story)
 
@@ -315,8 +315,8 @@
         if not town.arrived:
             town.scheduler.sleep(0.05)
         if town.arrived:
-            leg = town.leg()
-            leg.send(b"UP r1\r\n")
+            attempt = town.attempt()
+            attempt.send(b"UP r1\r\n")
         line = read_line(client)
         client.close()
     except OSError:
@@ -356,14 +356,14 @@
         assert isinstance(town, TlsTown)
         assert town.callers is not None
         denied, _ = town.stand(*shown["denied"])
-        good, leg = town.stand(*shown["good"])
+        good, attempt = town.stand(*shown["good"])
         without = Identity(
             "", RULES, move_within=0.05, denied_certificates=frozenset({fingerprint(shown["denied"][0])})
         )
         town.callers.replace(without, KeyRing())
         assert read_line(denied) == b"MOVE\r\n"
         good.send(b"hey\r\n")
-        assert read_line(leg) == b"hey\r\n"
+        assert read_line(attempt) == b"hey\r\n"
         assert town.callers._usage.connections("farms") >= 1
 
     TlsTown(authority, identity, clients="optional", authorities=str(authority.path)).run(story)
@@ -439,14 +439,14 @@
 
     def story(town: Town) -> None:
         client = town.client(OPEN)
-        leg = town.leg()
-        leg.shake(time.monotonic() + 5.0)
-        assert read_line(leg).startswith(b"OPEN 1a 2b c=read,")
-        leg.send(b"UP r1\r\n")
+        attempt = town.attempt()
+        attempt.shake(time.monotonic() + 5.0)
+        assert read_line(attempt).startswith(b"OPEN 1a 2b c=read,")
+        attempt.send(b"UP r1\r\n")
         assert read_line(client) == b"UP r1\r\n"
-        crosses(town, data, client, leg)
-        leg.send(b"BYE\r\n")
-        leg.close_gently(1.0)
+        crosses(town, data, client, attempt)
+        attempt.send(b"BYE\r\n")
+        attempt.close_gently(1.0)
         assert read_line(client) == b"BYE\r\n"
         client.close()
         until_gone(town)
@@ -459,18 +459,18 @@
     def story(town: Town) -> None:
         assert isinstance(town, SecureHosts)
         client = town.client(OPEN)
-        leg = town.leg()
+        attempt = town.attempt()
         with pytest.raises(OSError):
-            leg.shake(time.monotonic() + 5.0)
-            leg.receive(5.0)
-        assert town.gateway.counts["leg CONNECT_FAILED"] >= 1
+            attempt.shake(time.monotonic() + 5.0)
+            attempt.receive(5.0)
+        assert town.gateway.counts["attempt CONNECT_FAILED"] >= 1
         client.close()
 
     SecureHosts(authority, "other.example").run(story)
 
 
 def test_no_handshake_begins_at_a_server_that_is_leaving(authority: Authority) -> None:
-    """The rule on drains counts a leg's first byte, and with TLS that is the handshake's."""
+    """The rule on drains counts an attempt's first byte, and with TLS that is the handshake's."""
     def story(town: Town) -> None:
         assert isinstance(town, SecureHosts)
         host = town.gateway.server("s-0")
@@ -485,8 +485,8 @@
 
         town.dial = told_meanwhile
         client = town.client(OPEN)
-        leg = town.leg()
-        assert Stream.receive(leg, 5.0) == b""
+        attempt = town.attempt()
+        assert Stream.receive(attempt, 5.0) == b""
         client.close()
 
     SecureHosts(authority, "localhost").run(story)
