--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -67,7 +67,7 @@
     def stop_attempt(self) -> bool:
         """End the attempt that is out, at once. True if its first line was written whole: it may have run."""
 
-    def decline(self, retry_after: float) -> None:
+    def refuse(self, retry_after: float) -> None:
         """Give the final answer that trying again is harmless, and when."""
 
     def fail(self) -> None:
@@ -87,7 +87,7 @@
         """Nothing is out."""
         return False
 
-    def decline(self, retry_after: float) -> None:
+    def refuse(self, retry_after: float) -> None:
         """Nobody waits."""
 
     def fail(self) -> None:
@@ -259,7 +259,7 @@
         return True
 
     def ended(self, attempt: Attempt, outcome: Outcome, report: tuple[tuple[str, float], ...] = ()) -> None:
-        """The attempt is over and its connection closed. The decisions are told once, however often called."""
+        """The attempt is over and its connection closed. Tells the decisions once."""
         if attempt.ended:
             return
         attempt.ended = True
@@ -349,7 +349,7 @@
             case SetTimer():
                 self._timers.call_later(action.delay, self._feed, TimerFired(action.name))
             case Refuse():
-                self._answer(action.id, Count.dropped, lambda holder: holder.decline(action.retry_after))
+                self._answer(action.id, Count.dropped, lambda holder: holder.refuse(action.retry_after))
             case Fail():
                 self._answer(action.id, Count.failed, lambda holder: holder.fail())
             case Move():
--- a/ironmill/lifecycle.py
+++ b/ironmill/lifecycle.py
@@ -41,7 +41,7 @@
 
     ready: bool  # the answer to the staff's question whether it serves
     pong: bool  # and to the front's
-    opens: bool  # requests are taken; else they are declined at once, with a time to come again
+    opens: bool  # requests are taken; else they are refused at once, with a time to come again
     stays_away: bool  # clients are sent away, and the process stays
 
 
--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -306,10 +306,10 @@
         if math.isinf(refused):
             self._turn_away(None)  # it is logged and counted by its kind, and the client is not told
         else:
-            self._decline(refused)
+            self._refuse(refused)
         return False
 
-    def _decline(self, retry_after: float) -> None:
+    def _refuse(self, retry_after: float) -> None:
         """The final answer, before anything was decided: trying again is harmless, and when."""
         if self._count is not None:
             self._count.dropped()
@@ -326,7 +326,7 @@
             return
         self._count = self._gateway.figures.take(first.fields["c"])
         if not self._gateway.lifecycle.conduct.opens:
-            self._decline(RETRY_DRAINED)
+            self._refuse(RETRY_DRAINED)
             return
         if self._guest is not None and not self._go_on(self._guest.ask(first.fields["c"])):
             return
@@ -334,7 +334,7 @@
             self._turn_away("the id of an open connection")
             return
         if not self._admission.admit(ticket):
-            self._decline(RETRY_FULL)
+            self._refuse(RETRY_FULL)
             return
         self._first = first
         if "at" in first.fields:
@@ -390,7 +390,7 @@
         driver.close()
         return may_have_run
 
-    def decline(self, retry_after: float) -> None:
+    def refuse(self, retry_after: float) -> None:
         """``BUSY MS``, at once."""
         self._answer(self._busy(retry_after))
 
--- a/ironmill/net/drain.py
+++ b/ironmill/net/drain.py
@@ -19,7 +19,7 @@
 # By then, seconds after the call, the last connection is told to go; 4 s is what the platform allows, and the
 # line under way on one that is told to go has 0.9 s to end.
 MOVED_BY = 2.8
-SETTLED_BY = 3.0  # who is owed an answer then is declined
+SETTLED_BY = 3.0  # who is owed an answer then is refused
 LOOK_FOR = 1.0  # what comes to stand all the same is sent away until then, beyond that
 
 log = logging.getLogger("ironmill.drain")
--- a/ironmill/net/server.py
+++ b/ironmill/net/server.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from ironmill.net.sockets import Stream, TimedOutError
-from ironmill.protocol.server import AttemptEvent, Declined, Relayed, Report, ServerSide, Up
+from ironmill.protocol.server import AttemptEvent, Refused, Relayed, Report, ServerSide, Up
 from ironmill.scheduler import Task
 from stonegap.interface import Outcome
 
@@ -83,7 +83,7 @@
                 if owner.attempt_up(self, answer.data):  # else the owner has ended it all
                     self._relay(owner, self.stream, answer.later)
                 return
-            if isinstance(answer, Declined):
+            if isinstance(answer, Refused):
                 outcome, line = answer.outcome, answer.line
             else:
                 outcome = self.side.end()
--- a/ironmill/protocol/server.py
+++ b/ironmill/protocol/server.py
@@ -21,7 +21,7 @@
     later: bytes  # what came behind it, to be fed again once the client has the UP line
 
 
-class Declined(Struct, frozen=True):
+class Refused(Struct, frozen=True):
     """The server gave another answer than UP."""
 
     outcome: Outcome
@@ -36,7 +36,7 @@
     loads: tuple[float, ...]  # what LOAD lines among them tell
 
 
-AttemptEvent: TypeAlias = Up | Declined | Relayed
+AttemptEvent: TypeAlias = Up | Refused | Relayed
 
 
 class AttemptState(Enum):
@@ -128,22 +128,22 @@
         try:
             lines = self._lines.feed(data)
         except LineTooLongError:
-            return [self._declined(Outcome.ERROR, b"")]
+            return [self._refused(Outcome.ERROR, b"")]
         if not lines:
             return []
         word, _, rest = lines[0].partition(b" ")
         if word != b"UP":
             self.report = parse_report(rest)
-            return [self._declined(ANSWERS.get(word, Outcome.ERROR), lines[0])]
+            return [self._refused(ANSWERS.get(word, Outcome.ERROR), lines[0])]
         self.state, self.stood = AttemptState.STANDING, True
         first, later = self._raw[: len(lines[0]) + 2], self._raw[len(lines[0]) + 2 :]
         self._raw = b""
         self._lines = Lines(strict=False)
         return [Up(first, later)]
 
-    def _declined(self, outcome: Outcome, line: bytes) -> Declined:
+    def _refused(self, outcome: Outcome, line: bytes) -> Refused:
         self.state = AttemptState.OVER
-        return Declined(outcome, line + END)
+        return Refused(outcome, line + END)
 
     def _relay(self, data: bytes) -> Relayed:
         answers, loads = 0, []
--- a/ironmill_lab/demo.py
+++ b/ironmill_lab/demo.py
@@ -117,7 +117,7 @@
         counts = self._fleet.counts
         print(
             f"{time.monotonic() - self._began:5.1f} s  opened {counts.opened:4}  served {counts.served:4}  "
-            f"declined {counts.declined:3}  moved {counts.moved:4}  lost {counts.lost:3}  "
+            f"refused {counts.refused:3}  moved {counts.moved:4}  lost {counts.lost:3}  "
             f"standing {len(self._fleet.standing):4}  {what}".rstrip(), flush=True,
         )
 
--- a/ironmill_lab/fleet.py
+++ b/ironmill_lab/fleet.py
@@ -127,14 +127,14 @@
 
 @dataclass(slots=True)
 class FleetCounts:
-    """What happened to a fleet's requests: each one opened is served, declined, failed or unanswered."""
+    """What happened to a fleet's requests: each one opened is served, refused, failed or unanswered."""
 
     opened: int = 0
     served: int = 0
-    declined: int = 0
+    refused: int = 0
     failed: int = 0
     unanswered: int = 0
-    refused: int = 0  # connections that no proxy took; not counted as opened
+    unreached: int = 0  # connections that no proxy took; not counted as opened
     moved: int = 0  # of the served ones: sent away with MOVE
     lost: int = 0  # of the served ones: cut off without a word
     lines: int = 0
@@ -174,7 +174,7 @@
                 fields["again"] = 1
             except NotServedError as error:
                 word, _, more = str(error).partition(" ")
-                self.counts.declined += word == "BUSY"
+                self.counts.refused += word == "BUSY"
                 self.counts.failed += word not in ("BUSY", "")
                 self.counts.unanswered += word == ""
                 pause = int(more) / 1000.0 if more.isdigit() else pause
@@ -190,7 +190,7 @@
             client.open(fields=fields)
         except (OSError, TimedOutError):
             if client.stream is None:
-                self.counts.refused += 1
+                self.counts.unreached += 1
             else:
                 self.counts.opened += 1
                 self.counts.unanswered += 1
--- a/ironmill_lab/measures/core.py
+++ b/ironmill_lab/measures/core.py
@@ -69,7 +69,7 @@
         self._costs: dict[str, list[float]] = {"line": [], "setup": []}
         self._system: dict[str, float] = {"line": 0.0, "setup": 0.0}
         self.figures = figures
-        self.declined = 0
+        self.refused = 0
 
     def grow(self) -> None:
         """Open connections up to the size, and weigh them once each has brought its first line back."""
@@ -117,7 +117,7 @@
             try:
                 client.open()
             except NotServedError:
-                self.declined += 1
+                self.refused += 1
                 self._scheduler.sleep(0.1)
             else:
                 return client
@@ -150,7 +150,7 @@
     room = min(hard if hard > 0 else 1 << 20, 1 << 20)
     most = min(most, (room - 600) // 2)
     found: dict[str, list[Figures]] = {}
-    declined = 0
+    refused = 0
     with tempfile.TemporaryDirectory() as name:
         for kind in ("epoll", "greenlet", "proxy"):
             folder = Path(name) / kind
@@ -178,7 +178,7 @@
 
                 play(scheduler, story, LIMIT)
                 found[kind] = [bench.figures for bench in benches]
-                declined += sum(bench.declined for bench in benches)
+                refused += sum(bench.refused for bench in benches)
     _print(found)
     resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
     first, last = found["proxy"][0], found["proxy"][-1]
@@ -188,7 +188,7 @@
         "kib_per_connection": round(last.kib, 2),
         "floor_epoll_line_ms_5000": round(found["epoll"][-1].line_ms, 4),
         "floor_greenlet_line_ms_5000": round(found["greenlet"][-1].line_ms, 4),
-        "held": max(most, sizes[-1]), "declined": declined, "poller": poller,
+        "held": max(most, sizes[-1]), "refused": refused, "poller": poller,
     }
 
 
--- a/ironmill_lab/measures/identity.py
+++ b/ironmill_lab/measures/identity.py
@@ -242,8 +242,8 @@
     bad = {kind: n for (kind, word), n in answers.items() if kind in BAD and word == "UP"}
     return {
         "rotation_clients": sum(answers.values()),
-        "valid_refused": sum(n for (kind, word), n in answers.items() if kind == "good" and word == "ERR"),
-        "valid_declined": sum(n for (kind, word), n in answers.items() if kind == "good" and word == "BUSY"),
+        "valid_failed": sum(n for (kind, word), n in answers.items() if kind == "good" and word == "ERR"),
+        "valid_refused": sum(n for (kind, word), n in answers.items() if kind == "good" and word == "BUSY"),
         "forged_admitted": sum(bad.values()),
         "retired_admitted": answers["retired", "UP"],
         "unanswered": sum(n for (_, word), n in answers.items() if word in ("none", "closed")),
--- a/ironmill_lab/measures/membership.py
+++ b/ironmill_lab/measures/membership.py
@@ -223,7 +223,7 @@
             while not self._ending:
                 scheduler.sleep(0.1)
             counts = fleet.counts
-            lost = counts.lost + counts.unanswered + counts.failed + counts.refused
+            lost = counts.lost + counts.unanswered + counts.failed + counts.unreached
             self._counts = lost, counts.lines
             fleet.end()
 
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -62,7 +62,7 @@
     client.close()
 
 
-def declined(town: Town) -> None:
+def refused(town: Town) -> None:
     client = town.client(OPEN)
     for _ in range(3):
         attempt: Stream = town.attempt()
@@ -86,7 +86,7 @@
 
 
 @pytest.mark.parametrize(
-    "story", [served, ended_by_the_server, moved, broken, turned_away, declined, left]
+    "story", [served, ended_by_the_server, moved, broken, turned_away, refused, left]
 )
 def test_a_connection_leaves_no_cycle_behind(story: Callable[[Town], None]) -> None:
     seen: set[str] = set()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -66,7 +66,7 @@
         assert all(before.ended for before in self.attempts), "attempts overlap"
         self.attempts.append(attempt)
 
-    def decline(self, retry_after: float) -> None:
+    def refuse(self, retry_after: float) -> None:
         self.answers.append(f"BUSY {retry_after:.3f}")
 
     def fail(self) -> None:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -105,7 +105,7 @@
             assert proxy.end() == 0
     counts = fleet.counts
     assert (counts.lost, counts.failed, counts.unanswered) == (0, 0, 0)
-    assert counts.opened == counts.served + counts.declined
+    assert counts.opened == counts.served + counts.refused
     assert sum(host["late"] for host in told["hosts"]) == 0
 
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -30,7 +30,7 @@
         assert (lifecycle.state in LAST) == ended
         assert conduct.pong is not quiesced  # whatever came before it, and also while it ends
         assert conduct.ready == (opened and not quiesced and not ended)
-        # Nobody is declined who was not sent away, but for the last moment, in which everybody is.
+        # Nobody is refused who was not sent away, but for the last moment, in which everybody is.
         assert conduct.opens or quiesced or settled
         assert not (settled and conduct.opens)
         assert conduct.stays_away == (quiesced and opened and not ended)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -231,7 +231,7 @@
     Town(sockets=64).run(story)
 
 
-def test_where_nothing_gives_way_a_client_is_declined_at_once() -> None:
+def test_where_nothing_gives_way_a_client_is_refused_at_once() -> None:
     def story(town: Town) -> None:
         pairs = []
         for at in range(town.admission.most // 2):
@@ -272,7 +272,7 @@
     Town().run(story)
 
 
-def test_a_refused_connection_is_tried_elsewhere_and_declined_in_the_end() -> None:
+def test_a_refused_connection_is_tried_elsewhere_and_refused_in_the_end() -> None:
     def story(town: Town) -> None:
         for listener in town.listeners:
             listener.close()
@@ -691,7 +691,7 @@
     assert out["standing"] == b"MOVE\r\n"
 
 
-def test_at_the_end_what_is_still_owed_is_declined() -> None:
+def test_at_the_end_what_is_still_owed_is_refused() -> None:
     def story(town: Town) -> None:
         client = town.client(OPEN)
         attempt = town.attempt()
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -116,7 +116,7 @@
     fleet: Fleet = play(it.scheduler, told, LIMIT)
     assert not failed, failed
     counts = fleet.counts
-    assert (counts.lost, counts.unanswered, counts.failed, counts.refused) == (0, 0, 0, 0), counts
+    assert (counts.lost, counts.unanswered, counts.failed, counts.unreached) == (0, 0, 0, 0), counts
     return fleet
 
 
@@ -255,7 +255,7 @@
         passed = stats["passed"]
         assert sum(passed.values()) == fleet.counts.served + it.churned
         assert stats["upstream_tries"] == sum(host["opened"] for host in told)
-        assert sum(stats["dropped"].values()) == fleet.counts.declined
+        assert sum(stats["dropped"].values()) == fleet.counts.refused
         assert (stats["known_servers"], stats["skipped_servers"]) == (3, 0)
         taken = sum(stats["taken"].values())
         ended = sum(sum(stats[name].values()) for name in ("passed", "dropped", "bad_gateway", "abandoned"))
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -22,7 +22,7 @@
 )
 from ironmill.protocol.http import HttpError, ResponseParser
 from ironmill.protocol.lines import LIMIT, Lines, LineTooLongError
-from ironmill.protocol.server import AttemptState, Declined, Relayed, ServerSide, Up, parse_report
+from ironmill.protocol.server import AttemptState, Refused, Relayed, ServerSide, Up, parse_report
 from stonegap.interface import Outcome
 
 FIRST = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=2000,g=5c0f6e1a2b3d4c59\r\n"
@@ -164,7 +164,7 @@
             self.state = AttemptState.STANDING
         else:
             outcomes = {"BUSY": Outcome.FULL, "BYE": Outcome.OK, "MOVE": Outcome.CANCELLED}
-            assert event == Declined(outcomes.get(answer.split(" ")[0], Outcome.ERROR), line)
+            assert event == Refused(outcomes.get(answer.split(" ")[0], Outcome.ERROR), line)
             assert self.side.report == ((("inflight", 7.0),) if "=" in answer else ())
             self.state = AttemptState.OVER
 
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -607,12 +607,12 @@
         orders = [Refuse(ids[0], 0.1), Refuse(ids[1], 0.1)]
         holder = town.gateway._requests[ids[0]].holder
 
-        def decline(self: ClientDriver, retry_after: float) -> None:
+        def failing(self: ClientDriver, retry_after: float) -> None:
             if self is holder:
                 raise ZeroDivisionError
             refuse(self, retry_after)
 
-        monkeypatch.setattr(ClientDriver, "decline", decline)
+        monkeypatch.setattr(ClientDriver, "refuse", failing)
         monkeypatch.setattr(Balancer, "handle", lambda *_: orders)
         town.gateway._feed(TimerFired("any"))
         monkeypatch.undo()
@@ -620,5 +620,5 @@
         first.close()
         town.until(lambda: not town.admission.used())
 
-    refuse = ClientDriver.decline
+    refuse = ClientDriver.refuse
     Town(0).run(story)
