--- a/ironmill/lifecycle.py
+++ b/ironmill/lifecycle.py
@@ -25,7 +25,7 @@
     CLOSING = "closing"  # it ends after a drain, or both
 
 
-class Told(Enum):
+class Event(Enum):
     """What may happen to it."""
 
     OPENED = "opened"  # discovery has answered or failed: clients are taken from now on
@@ -59,20 +59,20 @@
 
 # What is not named changes nothing. An end is never taken back.
 NEXT = {
-    (State.STARTING, Told.OPENED): State.SERVING,
-    (State.STARTING, Told.QUIESCE): State.HELD,
-    (State.STARTING, Told.END): State.ENDING,
-    (State.HELD, Told.OPENED): State.DRAINED,
-    (State.HELD, Told.RESUME): State.STARTING,
-    (State.HELD, Told.END): State.CLOSING,
-    (State.SERVING, Told.QUIESCE): State.DRAINING,
-    (State.SERVING, Told.END): State.ENDING,
-    (State.DRAINING, Told.HEARD): State.DRAINED,
-    (State.DRAINING, Told.RESUME): State.SERVING,
-    (State.DRAINING, Told.END): State.CLOSING,
-    (State.DRAINED, Told.RESUME): State.SERVING,
-    (State.DRAINED, Told.END): State.CLOSING,
-    (State.ENDING, Told.SETTLE): State.SETTLING,
+    (State.STARTING, Event.OPENED): State.SERVING,
+    (State.STARTING, Event.QUIESCE): State.HELD,
+    (State.STARTING, Event.END): State.ENDING,
+    (State.HELD, Event.OPENED): State.DRAINED,
+    (State.HELD, Event.RESUME): State.STARTING,
+    (State.HELD, Event.END): State.CLOSING,
+    (State.SERVING, Event.QUIESCE): State.DRAINING,
+    (State.SERVING, Event.END): State.ENDING,
+    (State.DRAINING, Event.HEARD): State.DRAINED,
+    (State.DRAINING, Event.RESUME): State.SERVING,
+    (State.DRAINING, Event.END): State.CLOSING,
+    (State.DRAINED, Event.RESUME): State.SERVING,
+    (State.DRAINED, Event.END): State.CLOSING,
+    (State.ENDING, Event.SETTLE): State.SETTLING,
 }
 LAST = (State.ENDING, State.SETTLING, State.CLOSING)
 
@@ -93,7 +93,7 @@
         """Tell of each change of the state, after it."""
         self._watchers.append(told)
 
-    def tell(self, what: Told) -> None:
+    def tell(self, what: Event) -> None:
         """Take in what happened."""
         before = self.state
         self.state = NEXT.get((before, what), before)
--- a/ironmill/membership/member.py
+++ b/ironmill/membership/member.py
@@ -55,7 +55,7 @@
 )
 
 Datagram = tuple[Address, bytes]
-Told = Callable[[str, dict[str, Any]], object]
+OnEvent = Callable[[str, dict[str, Any]], object]
 
 HELPERS = 3  # asked to try one that is silent
 RUMOUR_BYTES = 850  # in one datagram; with all else it stays under what a datagram may hold
@@ -117,7 +117,7 @@
 
     def __init__(
         self, card: Card, codec: Codec, timing: Timing, seeds: Sequence[Address], rng: random.Random,
-        now: float, told: Told, peers: Mapping[str, Address] | None = None,
+        now: float, told: OnEvent, peers: Mapping[str, Address] | None = None,
     ) -> None:
         """``seeds`` are where it joins; ``peers`` are addresses by name where they are not what cards say.
 
--- a/ironmill/net/drain.py
+++ b/ironmill/net/drain.py
@@ -10,7 +10,7 @@
 import time
 
 from ironmill.gateway import Gateway
-from ironmill.lifecycle import CONDUCT, State, Told
+from ironmill.lifecycle import CONDUCT, Event, State
 from ironmill.net.send_away import SendAway
 from ironmill.scheduler import Scheduler, Task
 
@@ -52,7 +52,7 @@
         began = time.monotonic()
         log.info("draining: %d owed an answer, %d stand", self._gateway.pending(), self._standing())
         self._scheduler.sleep(FRONT)
-        self._gateway.lifecycle.tell(Told.HEARD)
+        self._gateway.lifecycle.tell(Event.HEARD)
         away = None if self._keeps else SendAway(self._scheduler, self._gateway)
         if away is not None:
             away.run(began + MOVED_BY)
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -16,7 +16,7 @@
 from ironmill.config import Address, Config
 from ironmill.garbage import Collector
 from ironmill.gateway import Gateway
-from ironmill.lifecycle import Lifecycle, Told
+from ironmill.lifecycle import Event, Lifecycle
 from ironmill.net.client import ClientDriver
 from ironmill.net.discovery import Discovery
 from ironmill.net.drain import Drain
@@ -157,7 +157,7 @@
         self.listener.start()
         if self.tls_listener is not None:
             self.tls_listener.start()
-        self.lifecycle.tell(Told.OPENED)
+        self.lifecycle.tell(Event.OPENED)
 
     def give_way(self) -> None:
         """Leave new connections to a process that was started after this one, if there is one."""
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -11,7 +11,7 @@
 from ironmill.admission import Admission
 from ironmill.config import Config
 from ironmill.gateway import Gateway
-from ironmill.lifecycle import LAST, Told
+from ironmill.lifecycle import LAST, Event
 from ironmill.net.client import REFUSED_WAIT
 from ironmill.net.send_away import SendAway
 from ironmill.scheduler import Scheduler
@@ -75,7 +75,7 @@
         """End in an orderly way. A second signal changes nothing."""
         if self._gateway.lifecycle.state in LAST:
             return
-        self._gateway.lifecycle.tell(Told.END)
+        self._gateway.lifecycle.tell(Event.END)
         self._drain()
         self._scheduler.stop()
 
@@ -92,7 +92,7 @@
         SendAway(self._scheduler, self._gateway).run(end - FLUSH)
         # Nothing begins from here on: its answer would not get through. What is owed is answered as what it
         # is, and who has said nothing is told so before the exit closes its connection.
-        self._gateway.lifecycle.tell(Told.SETTLE)
+        self._gateway.lifecycle.tell(Event.SETTLE)
         self._gateway.settle_all()
         self._admission.end_silent()
         self._scheduler.sleep(max(FLUSH, end - time.monotonic()))
--- a/ironmill/staff.py
+++ b/ironmill/staff.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ironmill.figures import Figures
-from ironmill.lifecycle import LAST, Lifecycle, Told
+from ironmill.lifecycle import LAST, Event, Lifecycle
 from ironmill.protocol.call import Answer, Call
 
 
@@ -63,11 +63,11 @@
         )
 
     def _quiesce(self) -> Answer:
-        self._lifecycle.tell(Told.QUIESCE)
+        self._lifecycle.tell(Event.QUIESCE)
         return self._told(HTTPStatus.OK)  # also where it ends: its clients are being sent away
 
     def _resume(self) -> Answer:
-        self._lifecycle.tell(Told.RESUME)
+        self._lifecycle.tell(Event.RESUME)
         return self._told(HTTPStatus.CONFLICT if self._lifecycle.state in LAST else HTTPStatus.OK)
 
     def _told(self, status: HTTPStatus, **more: Any) -> Answer:
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ironmill.lifecycle import CONDUCT, LAST, NEXT, Lifecycle, State, Told
+from ironmill.lifecycle import CONDUCT, LAST, NEXT, Event, Lifecycle, State
 
 
 def test_every_state_has_a_conduct_and_is_reached() -> None:
@@ -13,18 +13,18 @@
     assert set(NEXT.values()) == set(State)
 
 
-@given(st.lists(st.sampled_from(Told)))
-def test_what_holds_after_any_steps(steps: list[Told]) -> None:
+@given(st.lists(st.sampled_from(Event)))
+def test_what_holds_after_any_steps(steps: list[Event]) -> None:
     lifecycle = Lifecycle()
     seen: list[State] = []
     lifecycle.watch(seen.append)
     quiesced = opened = ended = settled = False
     for step in steps:
         if not ended:
-            quiesced = {Told.QUIESCE: True, Told.RESUME: False}.get(step, quiesced)
-        opened = opened or (step is Told.OPENED and not ended)
-        settled = settled or (ended and step is Told.SETTLE)
-        ended = ended or step is Told.END
+            quiesced = {Event.QUIESCE: True, Event.RESUME: False}.get(step, quiesced)
+        opened = opened or (step is Event.OPENED and not ended)
+        settled = settled or (ended and step is Event.SETTLE)
+        ended = ended or step is Event.END
         lifecycle.tell(step)
         conduct = lifecycle.conduct
         assert (lifecycle.state in LAST) == ended
@@ -42,6 +42,6 @@
     lifecycle = Lifecycle(State.SERVING)
     seen: list[State] = []
     lifecycle.watch(seen.append)
-    for step in (Told.QUIESCE, Told.QUIESCE, Told.HEARD, Told.QUIESCE, Told.RESUME, Told.RESUME, Told.HEARD):
+    for step in (Event.QUIESCE, Event.QUIESCE, Event.HEARD, Event.QUIESCE, Event.RESUME, Event.RESUME, Event.HEARD):
         lifecycle.tell(step)
     assert seen == [State.DRAINING, State.DRAINED, State.SERVING]
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -14,7 +14,8 @@
 from msgspec import structs
 
 from ironmill import pace as pace_module
-from ironmill.lifecycle import State, Told
+from ironmill.lifecycle import Event as LifecycleEvent
+from ironmill.lifecycle import State
 from ironmill.net import client as client_module
 from ironmill.net import discovery as discovery_module
 from ironmill.net import probe as probe_module
@@ -173,7 +174,7 @@
     def story(town: Town) -> None:
         client = town.client(b"PING\r\n")
         assert read_line(client) == b"PONG\r\n"
-        for step in (Told.OPENED, Told.END, Told.SETTLE):
+        for step in (LifecycleEvent.OPENED, LifecycleEvent.END, LifecycleEvent.SETTLE):
             town.gateway.lifecycle.tell(step)
         client.send(OPEN)
         assert read_line(client) == b"BUSY 200\r\n"
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from ironmill.figures import ClassFigures, Figures
-from ironmill.lifecycle import Lifecycle, State, Told
+from ironmill.lifecycle import Event, Lifecycle, State
 from ironmill.net import control as control_module
 from ironmill.net import drain as drain_module
 from ironmill.net.control import CALLERS_MOST, Control
@@ -106,7 +106,7 @@
     )
     assert (stats["in_progress"], stats["known_servers"], stats["skipped_servers"]) == (1, 4, 1)
     assert stats["upstream_tries"] == 0  # one number, as the platform reads it
-    served.lifecycle.tell(Told.END)
+    served.lifecycle.tell(Event.END)
     assert ask("GET", "/admin/health")[0] == 503
     assert ask("POST", "/admin/quiesce")[0] == 200
     assert ask("POST", "/admin/resume")[0] == 409
