--- a/ironmill/lifecycle.py
+++ b/ironmill/lifecycle.py
@@ -36,7 +36,7 @@
     SETTLE = "settle"  # the end has come so near that nothing new may begin
 
 
-class Conduct(Struct, frozen=True):
+class Policy(Struct, frozen=True):
     """What is done in a state."""
 
     ready: bool  # the answer to the staff's question whether it serves
@@ -45,16 +45,16 @@
     stays_away: bool  # clients are sent away, and the process stays
 
 
-CONDUCT = {
-    State.STARTING: Conduct(ready=False, pong=True, opens=True, stays_away=False),  # nobody is accepted yet
-    State.HELD: Conduct(ready=False, pong=False, opens=False, stays_away=False),
-    State.SERVING: Conduct(ready=True, pong=True, opens=True, stays_away=False),
-    State.DRAINING: Conduct(ready=False, pong=False, opens=True, stays_away=True),
-    State.DRAINED: Conduct(ready=False, pong=False, opens=False, stays_away=True),
+POLICIES = {
+    State.STARTING: Policy(ready=False, pong=True, opens=True, stays_away=False),  # nobody is accepted yet
+    State.HELD: Policy(ready=False, pong=False, opens=False, stays_away=False),
+    State.SERVING: Policy(ready=True, pong=True, opens=True, stays_away=False),
+    State.DRAINING: Policy(ready=False, pong=False, opens=True, stays_away=True),
+    State.DRAINED: Policy(ready=False, pong=False, opens=False, stays_away=True),
     # The front is not told no: where a successor listens at the same address it would take that for out.
-    State.ENDING: Conduct(ready=False, pong=True, opens=True, stays_away=False),
-    State.SETTLING: Conduct(ready=False, pong=True, opens=False, stays_away=False),
-    State.CLOSING: Conduct(ready=False, pong=False, opens=False, stays_away=False),
+    State.ENDING: Policy(ready=False, pong=True, opens=True, stays_away=False),
+    State.SETTLING: Policy(ready=False, pong=True, opens=False, stays_away=False),
+    State.CLOSING: Policy(ready=False, pong=False, opens=False, stays_away=False),
 }
 
 # What is not named changes nothing. An end is never taken back.
@@ -85,9 +85,9 @@
         self._watchers: list[Callable[[State], object]] = []
 
     @property
-    def conduct(self) -> Conduct:
+    def policy(self) -> Policy:
         """What is done now."""
-        return CONDUCT[self.state]
+        return POLICIES[self.state]
 
     def watch(self, told: Callable[[State], object]) -> None:
         """Tell of each change of the state, after it."""
--- a/ironmill/net/drain.py
+++ b/ironmill/net/drain.py
@@ -10,7 +10,7 @@
 import time
 
 from ironmill.gateway import Gateway
-from ironmill.lifecycle import CONDUCT, Event, State
+from ironmill.lifecycle import POLICIES, Event, State
 from ironmill.net.send_away import SendAway
 from ironmill.scheduler import Scheduler, Task
 
@@ -43,7 +43,7 @@
     def _changed(self, state: State) -> None:
         if state is State.DRAINING:
             self._task = self._scheduler.spawn(self._run)
-        elif self._task is not None and not CONDUCT[state].stays_away:
+        elif self._task is not None and not POLICIES[state].stays_away:
             self._scheduler.kill(self._task)
             self._task = None
             log.info("the drain is over: %s", state.value)
--- a/ironmill/staff.py
+++ b/ironmill/staff.py
@@ -51,7 +51,7 @@
         return action()
 
     def _health(self) -> Answer:
-        ready = self._lifecycle.conduct.ready
+        ready = self._lifecycle.policy.ready
         return self._told(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _stats(self) -> Answer:
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -5,11 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ironmill.lifecycle import CONDUCT, LAST, NEXT, Event, Lifecycle, State
+from ironmill.lifecycle import LAST, NEXT, POLICIES, Event, Lifecycle, State
 
 
-def test_every_state_has_a_conduct_and_is_reached() -> None:
-    assert set(CONDUCT) == set(State)
+def test_every_state_has_a_policy_and_is_reached() -> None:
+    assert set(POLICIES) == set(State)
     assert set(NEXT.values()) == set(State)
 
 
@@ -26,14 +26,14 @@
         settled = settled or (ended and step is Event.SETTLE)
         ended = ended or step is Event.END
         lifecycle.tell(step)
-        conduct = lifecycle.conduct
+        policy = lifecycle.policy
         assert (lifecycle.state in LAST) == ended
-        assert conduct.pong is not quiesced  # whatever came before it, and also while it ends
-        assert conduct.ready == (opened and not quiesced and not ended)
+        assert policy.pong is not quiesced  # whatever came before it, and also while it ends
+        assert policy.ready == (opened and not quiesced and not ended)
         # Nobody is refused who was not sent away, but for the last moment, in which everybody is.
-        assert conduct.opens or quiesced or settled
-        assert not (settled and conduct.opens)
-        assert conduct.stays_away == (quiesced and opened and not ended)
+        assert policy.opens or quiesced or settled
+        assert not (settled and policy.opens)
+        assert policy.stays_away == (quiesced and opened and not ended)
     assert seen == [state for state, before in zip(seen, [State.STARTING, *seen], strict=False)
                     if state is not before]
 
@@ -42,6 +42,10 @@
     lifecycle = Lifecycle(State.SERVING)
     seen: list[State] = []
     lifecycle.watch(seen.append)
-    for step in (Event.QUIESCE, Event.QUIESCE, Event.HEARD, Event.QUIESCE, Event.RESUME, Event.RESUME, Event.HEARD):
+    steps = (
+        Event.QUIESCE, Event.QUIESCE, Event.HEARD, Event.QUIESCE, Event.RESUME,
+        Event.RESUME, Event.HEARD,
+    )
+    for step in steps:
         lifecycle.tell(step)
     assert seen == [State.DRAINING, State.DRAINED, State.SERVING]
