--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -153,6 +153,7 @@
         self._serial = itertools.count()
         self.counts: dict[str, int] = {}
         self.prober: Prober | None = None
+        self.carrying: set[Holder] = set()  # whose connections, open before the run, are not up again yet
         self.routing(config.known)
 
     def now(self) -> float:
@@ -414,6 +415,8 @@
         Which one the decisions say, for an attempt that is out may have run: a request that may not simply be
         repeated has failed then. Not to be called from a task of a connection.
         """
+        for holder in list(self.carrying):
+            holder.fail()
         for request in list(self._requests.values()):
             if request.over:
                 continue
--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -396,6 +396,8 @@
 
     def fail(self) -> None:
         """Any other line than UP or BUSY means that it failed."""
+        if self._count is not None:
+            self._count.failed()
         self._answer(b"ERR\r\n")
 
     def move(self) -> None:
@@ -464,21 +466,32 @@
 
     def _carry(self, first: FirstLine) -> None:
         """A connection that was open before the run goes back to the server that holds it."""
-        deadline = time.monotonic() + CARRY_WAIT
+        self._gateway.carrying.add(self)
+        try:
+            stood = self._carry_until(first, time.monotonic() + CARRY_WAIT)
+        finally:
+            self._gateway.carrying.discard(self)
+        if not stood and not self._stream.closed:
+            self._side.close()
+            self._attempt_task = None
+            if self._count is not None:
+                self._count.failed()
+            self._finish(b"ERR\r\n")
+
+    def _carry_until(self, first: FirstLine, deadline: float) -> bool:
+        """Try until it stands; False if it does not in time, or its client has gone."""
         while time.monotonic() < deadline:
+            if not self._still_there():
+                return False
             host = self._gateway.server(first.fields["at"])
             if host is not None:
                 self._driver = AttemptDriver(self._dial, first.raw)
                 left = deadline - time.monotonic()
                 self._driver.run(self, host.address, self._config.connect_timeout, left, self._still_there)
                 if self._driver.side.stood:
-                    return
+                    return True
             self._scheduler.sleep(CARRY_PAUSE)
-        self._side.close()
-        self._attempt_task = None
-        if self._count is not None:
-            self._count.failed()
-        self._finish(b"ERR\r\n")
+        return False
 
     def attempt_asked(self) -> None:
         """An attempt is written whole."""
@@ -508,7 +521,7 @@
         if not self._write(data):
             return False
         self._onward(early)
-        return True
+        return not self._stream.closed
 
     def attempt_data(self, relayed: Relayed) -> bool:
         """Bytes to the client. Reading from the server waits meanwhile."""
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -95,6 +95,6 @@
         self._gateway.lifecycle.tell(Event.SETTLE)
         self._gateway.settle_all()
         self._admission.end_silent()
-        self._scheduler.sleep(max(FLUSH, end - time.monotonic()))
+        self._scheduler.sleep(FLUSH)
         figures, counts = self._gateway.figures, self._gateway.counts
         log.info("ended: %s, %d attempts, %s", figures.by_outcome(), figures.upstream_tries, counts)
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -623,3 +623,67 @@
 
     refuse = ClientDriver.refuse
     Town(0).run(story)
+
+
+def test_who_waits_to_be_up_again_and_leaves_is_asked_for_no_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A connection that was open before the run is tried again and again: not for nobody."""
+    monkeypatch.setattr(client_module, "CARRY_PAUSE", 0.0)
+
+    def story(town: Town) -> None:
+        held = instant(town)
+        dial = town.dial
+        assert dial is not None
+        with dialled(town, b"OPEN 1a 2b c=read,at=s-0\r\n") as client:
+            def leaves(address: tuple[str, int], timeout: float) -> Stream:
+                client.close()
+                return dial(address, timeout)
+
+            town.dial = leaves
+            town.until(lambda: town.gateway.figures.classes["read"].abandoned == 1)
+        for _ in range(20):
+            town.scheduler.sleep(0.0)
+        assert len(held) == 1
+        assert held[0].receive(5.0) == b""
+
+    Town().run(story)
+
+
+def test_early_bytes_that_nobody_takes_end_with_their_client(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The server has taken the connection and reads nothing, and the client has left."""
+    failed: list[object] = []
+    monkeypatch.setattr(client_module.log, "exception", lambda *args: failed.append(args))
+
+    def story(town: Town) -> None:
+        def gives_up(stream: Stream, data: bytes, source: Stream) -> None:
+            raise TimedOutError
+
+        monkeypatch.setattr(Stream, "send_beside", gives_up)
+        client = town.client(OPEN.replace(b"g=3c", b"g=3c,mid=1") + b"early\r\n")
+        server = town.attempt()
+        read_line(server)
+        server.send(b"UP r1\r\n")
+        assert read_line(client) == b"UP r1\r\n"
+        town.until(lambda: not town.gateway.held())
+        assert not town.admission.used()
+
+    Town().run(story)
+    assert not failed
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_who_waits_to_be_up_again_is_answered_at_the_end(known: bool) -> None:
+    """Its server has not answered, or discovery has not told of it yet."""
+    def story(town: Town) -> None:
+        client = town.client(b"OPEN 1a 2b c=read,at=%b\r\n" % (b"s-0" if known else b"s-9"))
+        if known:
+            read_line(town.attempt())
+        town.until(lambda: bool(town.gateway.carrying))
+        town.gateway.settle_all()
+        assert read_line(client) == b"ERR\r\n"
+        assert client.receive(5.0) == b""
+        client.close()
+        town.until(lambda: not town.admission.used())
+        assert not town.gateway.carrying
+        assert town.gateway.figures.classes["read"].bad_gateway == 1
+
+    Town().run(story)
