--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -94,6 +94,8 @@
         # is, and who has said nothing is told so before the exit closes its connection.
         self._gateway.lifecycle.tell(Event.SETTLE)
         self._gateway.settle_all()
+        for request in self._gateway.standing():
+            request.holder.move()  # what came to stand since the last look, too
         self._admission.end_silent()
         self._scheduler.sleep(FLUSH)
         figures, counts = self._gateway.figures, self._gateway.counts
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -24,6 +24,7 @@
 from ironmill.net.client import ClientDriver
 from ironmill.net.discovery import Discovery
 from ironmill.net.probe import KEPT_MOST, ProbeDriver
+from ironmill.net.send_away import SendAway
 from ironmill.net.server import AttemptDriver
 from ironmill.net.shutdown import Shutdown
 from ironmill.net.sockets import CHUNK, Stream, TimedOutError
@@ -687,3 +688,19 @@
         assert town.gateway.figures.classes["read"].bad_gateway == 1
 
     Town().run(story)
+
+
+def test_what_comes_to_stand_after_the_last_look_is_sent_away_all_the_same(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    got: list[bytes] = []
+    monkeypatch.setattr(SendAway, "run", lambda self, end: None)  # it has looked, and nothing stood
+
+    def story(town: Town) -> None:
+        client, _ = town.pair()
+        town.scheduler.spawn(end_of(town, monkeypatch).run)
+        got.append(read_line(client))
+        got.append(client.receive(5.0))
+
+    Town().run(story)
+    assert got == [b"MOVE\r\n", b""]
