--- a/ironmill/gateway.py
+++ b/ironmill/gateway.py
@@ -228,6 +228,7 @@
         self, holder: Holder, host: Server, class_name: str, count: Count | None = None, **fields: Any
     ) -> Attempt:
         """A connection that was open before the proxy began is up again at its server."""
+        self.carrying.discard(holder)
         request = self._admit(holder, 0.0, count or self.figures.take(class_name))
         request.count.passed()
         request.over = request.standing = True
--- a/ironmill/net/probe.py
+++ b/ironmill/net/probe.py
@@ -66,7 +66,8 @@
         if stream is not None:
             self._streams[host.number] = stream
         else:
-            if len(self._streams) >= KEPT_MOST and not self._make_room():
+            # Whoever is asked holds a connection, or is about to.
+            if len(self._streams.keys() | self._asking) > KEPT_MOST and not self._make_room():
                 return Outcome.MOOT, ()
             stream = self._streams[host.number] = self._dial(host.address, self._connect_timeout)
             stream.shake(time.monotonic() + self._connect_timeout)
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -704,3 +704,44 @@
 
     Town().run(story)
     assert got == [b"MOVE\r\n", b""]
+
+
+def test_who_is_up_again_is_not_answered_a_second_time_at_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its first line still waits to be taken when the process ends."""
+    def story(town: Town) -> None:
+        monkeypatch.setattr(ClientDriver, "attempt_data", lambda *_: town.scheduler.sleep(60.0))
+        client = town.client(b"OPEN 1a 2b c=read,at=s-0\r\n")
+        server = town.attempt()
+        read_line(server)
+        server.send(b"UP r1\r\nline\r\n")
+        assert read_line(client) == b"UP r1\r\n"
+        town.gateway.settle_all()
+        (standing,) = town.gateway.standing()
+        standing.holder.move()
+        assert read_line(client) == b"MOVE\r\n"  # and nothing before it
+
+    Town().run(story)
+
+
+def test_probes_that_come_up_at_once_keep_to_their_descriptors_too() -> None:
+    told: list[tuple[Outcome, object]] = []
+
+    def story(town: Town) -> None:
+        dialling: list[int] = []
+
+        def dial(address: tuple[str, int], timeout: float) -> Stream:
+            dialling.append(address[1])
+            town.scheduler.sleep(60.0)
+            raise TimedOutError
+
+        driver = prober(town, told)
+        driver._dial = dial
+        for at in range(KEPT_MOST + 2):
+            host = town.gateway.server(f"s-{at}")
+            assert host is not None
+            driver.probe(host)
+        town.until(lambda: len(told) == 2)
+        assert len(dialling) == KEPT_MOST
+
+    Town(KEPT_MOST + 2).run(story)
+    assert told == [(Outcome.MOOT, ())] * 2
