--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -943,8 +943,8 @@
     def _update_gate(self) -> None:
         """By the reports where there are enough: a slow set-up may only be a crowd that came at once.
 
-        Else by what the own connections show. Guards a large fleet: each of its relays asks one backend in 12 s,
-        so they never had the two reports that close the gate. 36 attempts a request were made, none was refused.
+        Else by what the own connections show. Guards a large fleet: each of its relays asks one backend in
+        12 s, so they never had the two reports that close the gate: 36 attempts a request, and none refused.
         """
         loads = [
             backend.load for backend in self._backends.values()
