Test that idle clients keep neither discovery nor staff nor requests out of descriptors

A real process held to its stated 96 descriptors by the kernel, three times as many idle clients, discovery down, then SIGHUP to one that answers: staff read the figures throughout, the list comes, ten requests are served. And an attempt that finds no descriptor costs itself alone.

--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,89 @@
+"""A real process that may hold just the descriptors it is told of, while idle clients want all of them."""
+
+from __future__ import annotations
+
+import errno
+import resource
+import signal
+import socket
+import time
+from contextlib import ExitStack
+from pathlib import Path
+
+import orjson
+
+from ironmill.net.sockets import Stream
+from ironmill.scheduler import Scheduler
+from ironmill_lab.fleet import Client, play
+from ironmill_lab.processes import Neighbours, ProxyProcess, free_port
+from ironmill_lab.settings import platform_settings, proxy_config, write_config
+from ironmill_lab.staff import call
+from tests.test_net import OPEN, Town, read_line
+
+SOCKETS = 96
+LIMIT = 60.0
+
+
+def test_idle_clients_that_fill_the_descriptors_keep_neither_discovery_nor_staff_nor_requests_out(
+    tmp_path: Path,
+) -> None:
+    """Discovery is down meanwhile: the watch, the second address, probes and attempts have a reserve."""
+    with ExitStack() as stack:
+        neighbours = stack.enter_context(Neighbours(tmp_path, 3))
+        address, control, gone = (("127.0.0.1", free_port()) for _ in range(3))
+        value = proxy_config("p1", address, gone, SOCKETS, platform_settings())
+        value["control"] = f"{control[0]}:{control[1]}"
+        config = write_config(tmp_path, value)
+        process = stack.enter_context(ProxyProcess(config, tmp_path))
+        process.wait_ready()
+        resource.prlimit(process.popen.pid, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
+        idle = [stack.enter_context(socket.create_connection(address)) for _ in range(3 * SOCKETS)]
+        scheduler = Scheduler()
+
+        def known() -> int:
+            status, body = call(scheduler, control, "GET", "/admin/stats")
+            assert status == 200
+            found: int = orjson.loads(body)["known_servers"]
+            return found
+
+        def told() -> None:
+            assert known() == 0
+            value["discovery"] = f"{neighbours.discovery[0]}:{neighbours.discovery[1]}"
+            write_config(tmp_path, value)
+            process.popen.send_signal(signal.SIGHUP)  # the file, and a second watch, take descriptors as well
+            until = time.monotonic() + LIMIT / 2.0
+            while known() != 3:
+                assert time.monotonic() < until
+                scheduler.sleep(0.02)
+            for _ in range(10):
+                client = Client(scheduler, address)
+                client.open(2.0)
+                assert client.ask(b"line") == b"line"
+                client.close()
+
+        play(scheduler, told, LIMIT)
+        assert process.popen.poll() is None
+        assert "Too many open files" not in process.log.read_text()
+        assert len(idle) == 3 * SOCKETS
+
+
+def test_an_attempt_that_finds_no_descriptor_costs_itself_alone() -> None:
+    """The next one is made, and served."""
+    def story(town: Town) -> None:
+        failed: list[bool] = []
+
+        def dial(to: tuple[str, int], timeout: float) -> Stream:
+            if not failed:
+                failed.append(True)
+                raise OSError(errno.EMFILE, "too many")
+            return Stream.connect(town.scheduler, to, timeout)
+
+        town.dial = dial
+        client = town.client(OPEN)
+        server = town.attempt()
+        read_line(server)
+        server.send(b"UP r1\r\n")
+        assert read_line(client) == b"UP r1\r\n"
+        assert failed
+
+    Town(2).run(story)
