--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -286,3 +287,18 @@
             attempt.close()
 
     it.run(story)
+
+
+def test_a_caller_that_makes_room_is_not_reset_over_what_it_has_just_sent() -> None:
+    it = Called()
+
+    def story() -> None:
+        half = [it.connect(GET[:7]) for _ in range(CALLERS_MOST)]
+        it.town.until(lambda: len(it.control._callers) == CALLERS_MOST)
+        half[0].send_now(GET[7:20])  # not read yet when the next one comes
+        ours, theirs = socket.socketpair()
+        it.control._take(Stream(it.town.scheduler, ours))
+        theirs.close()
+        assert half[0].receive(5.0) == b""
+
+    it.run(story)
