Tidy: one check of kept connections, one reckoning of the window of repeats

Stream.stale serves probes and discovery, Balancer._repeat_by the three places that asked for the window, and _carry ends by fail like any other request.

--- a/ironmill/net/client.py
+++ b/ironmill/net/client.py
@@ -472,11 +472,7 @@
         finally:
             self._gateway.carrying.discard(self)
         if not stood and not self._stream.closed:
-            self._side.close()
-            self._attempt_task = None
-            if self._count is not None:
-                self._count.failed()
-            self._finish(b"ERR\r\n")
+            self.fail()
 
     def _carry_until(self, first: FirstLine, deadline: float) -> bool:
         """Try until it stands; False if it does not in time, or its client has gone."""
--- a/ironmill/net/discovery.py
+++ b/ironmill/net/discovery.py
@@ -178,8 +178,8 @@
         return routing
 
     def _response(self, path: str, end: float) -> Response:
-        if self._stream is not None and (self._stream.ended() or self._stream.has_unread()):
-            self._hang_up()  # closed meanwhile, or it holds what nobody asked for
+        if self._stream is not None and self._stream.stale():
+            self._hang_up()
         if self._stream is None:
             self._stream = Stream.connect(self._scheduler, self.address, self._left(end))
             self._parser = ResponseParser()
--- a/ironmill/net/probe.py
+++ b/ironmill/net/probe.py
@@ -58,7 +58,7 @@
 
     def _ask(self, host: Server) -> tuple[Outcome, Report]:
         stream = self._streams.pop(host.number, None)
-        if stream is not None and (stream.ended() or stream.has_unread()):
+        if stream is not None and stream.stale():
             # Guards a sound server against blame for a connection that it closed as idle, and the report
             # against a second answer to an earlier question.
             stream.close()
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -152,6 +152,10 @@
         except OSError:  # nothing, or no connection any more
             return False
 
+    def stale(self) -> bool:
+        """True if a kept connection is not to be asked on again: it ended, or holds what nobody asked for."""
+        return self.ended() or self.has_unread()
+
     def when_readable(self, function: Callable[..., object], *args: Any) -> Task:
         """A task that begins once there is something to read, an end or an error among it."""
         self.drained = False
--- a/stonegap/balance.py
+++ b/stonegap/balance.py
@@ -880,11 +880,9 @@
         """False where a repeat of the request could take effect a second time."""
         if live.maybe_ran is None or live.cls.effect is Effect.SAFE:
             return True
-        if live.cls.effect is Effect.UNSAFE:
-            return False
-        first, sent_at = live.maybe_ran
-        if self._now >= sent_at + live.cls.window:
+        if not self._may_resend(live):
             return False
+        first = live.maybe_ran[0]
         backend = self._backends[backend_id]
         if live.cls.scope is Scope.ZONE:
             return backend.zone == first.zone
@@ -908,9 +906,7 @@
             backend.cold_tokens -= 1
         self._read(backend)
         # Guards the window for repeats against a connection that comes up late: it counts at the first byte.
-        repeats = live.maybe_ran is not None and live.cls.effect is Effect.KEYED
-        start_by = live.maybe_ran[1] + live.cls.window if live.maybe_ran and repeats else math.inf
-        self._actions.append(Send(live.request.id, backend.id, timeout, start_by))
+        self._actions.append(Send(live.request.id, backend.id, timeout, self._repeat_by(live)))
 
     # The life of a request
 
@@ -1011,9 +1007,14 @@
         return 0.005 + 3.0 * self._settings.round_gap
 
     def _may_resend(self, live: _Live) -> bool:
+        return self._now < self._repeat_by(live)
+
+    @staticmethod
+    def _repeat_by(live: _Live) -> float:
+        """Until when a further attempt may begin; infinite where a repeat is harmless, or would be none."""
         if live.maybe_ran is None or live.cls.effect is Effect.SAFE:
-            return True
-        return live.cls.effect is Effect.KEYED and self._now < live.maybe_ran[1] + live.cls.window
+            return math.inf
+        return live.maybe_ran[1] + live.cls.window if live.cls.effect is Effect.KEYED else -math.inf
 
     def _answer(self, live: _Live) -> None:
         """Give the one final answer. A refusal says that trying again is harmless."""
