--- a/ironmill/membership/member.py
+++ b/ironmill/membership/member.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 import random
 from collections.abc import Callable, Mapping, Sequence
@@ -14,6 +13,7 @@
 
 from msgspec import Raw, Struct, structs
 
+from ironmill.membership.envelope import Datagram, Tokens
 from ironmill.membership.timing import (
     BOOT,
     DISPUTE,
@@ -54,7 +54,6 @@
     unpack,
 )
 
-Datagram = tuple[Address, bytes]
 OnEvent = Callable[[str, dict[str, Any]], object]
 
 HELPERS = 3  # asked to try one that is silent
@@ -68,7 +67,6 @@
 REACH_EVERY = 0.2
 REACH_MORE, REACH_MOST = 20, 4  # one more for so many rumours, up to so many
 DISPUTES_A_TICK = 8  # members asked whether they are there
-TOKEN_EVERY = 1.0  # seconds in which the same token is given; the last three are taken
 
 
 class Peer(Struct):
@@ -137,7 +135,7 @@
         self._told = told
         self._where = peers or {}
         self._peers: dict[str, Peer] = {}
-        self._secret = rng.randbytes(16)
+        self._tokens = Tokens(rng.randbytes(16))
         self._count = 0
         self._stamp = card.incarnation
         self._number = 0
@@ -265,7 +263,7 @@
 
     # Datagrams in
 
-    def _take(self, envelope: Envelope, source: Address) -> None:
+    def _take(self, envelope: Envelope[Message], source: Address) -> None:
         name, message = envelope.sender, envelope.message
         if name == self.card.name:
             self._namesake(envelope)
@@ -299,7 +297,7 @@
         else:
             self._paged(name, message)
 
-    def _namesake(self, envelope: Envelope) -> None:
+    def _namesake(self, envelope: Envelope[Message]) -> None:
         """Of two processes with one name the newer one stays."""
         if envelope.incarnation > self.card.incarnation:
             self._supersede(envelope.incarnation)
@@ -309,17 +307,10 @@
         self.superseded = True
         self._told("superseded", {"incarnation": self.card.incarnation, "by": incarnation})
 
-    def _echoes(self, envelope: Envelope, echo: int) -> bool:
-        return echo != 0 and any(
-            echo == self._token(envelope.sender, envelope.incarnation, back) for back in range(3)
-        )
-
-    def _token(self, name: str, incarnation: int, back: int = 0) -> int:
-        """What proves, when it comes back, that the other has heard this member lately; costs no memory."""
-        text = f"{name}\n{incarnation}\n{int(self._now / TOKEN_EVERY) - back}".encode()
-        return int.from_bytes(hashlib.blake2b(text, key=self._secret, digest_size=4).digest()) | 1
+    def _echoes(self, envelope: Envelope[Message], echo: int) -> bool:
+        return self._tokens.proves(envelope.sender, envelope.incarnation, echo, self._now)
 
-    def _proven(self, envelope: Envelope, source: Address, rumours: Sequence[Raw]) -> None:
+    def _proven(self, envelope: Envelope[Message], source: Address, rumours: Sequence[Raw]) -> None:
         """Both ways work. Only now anything of the sender is kept."""
         peer = self._peer(envelope.sender)
         if peer.incarnation != envelope.incarnation:
@@ -330,7 +321,7 @@
         for raw in rumours:
             self._hear(unpack(raw))
 
-    def _acked(self, envelope: Envelope, source: Address, message: Ack, stale: bool) -> None:
+    def _acked(self, envelope: Envelope[Message], source: Address, message: Ack, stale: bool) -> None:
         asked = self._asked.get(message.number)
         name = envelope.sender
         if asked is None or (message.of or name) != (asked.name or name):
@@ -356,10 +347,10 @@
                 ack = Ack(number, 0, self.view.digest, [], of=name)
                 self._send(asker, self._address(asker), ack)
 
-    def _ack(self, envelope: Envelope, source: Address, news: bool) -> None:
+    def _ack(self, envelope: Envelope[Message], source: Address, news: bool) -> None:
         message = envelope.message
         assert isinstance(message, Ping)
-        token = self._token(envelope.sender, envelope.incarnation)
+        token = self._tokens.give(envelope.sender, envelope.incarnation, self._now)
         first: list[Raw] = []
         fact = self.view.facts.get(envelope.sender)
         # Who is out of the view, or an older process, has to hear so from whomever it asks.
@@ -455,7 +446,7 @@
     def _want(self, name: str, after: str) -> None:
         self._want_at = self._now
         peer = self._peer(name)
-        token = self._token(name, peer.incarnation)
+        token = self._tokens.give(name, peer.incarnation, self._now)
         self._send(name, self._address(name), Want(peer.token, token, after))
 
     # Decisions
--- a/ironmill/membership/wire.py
+++ b/ironmill/membership/wire.py
@@ -1,4 +1,4 @@
-"""Datagrams between members: MessagePack of typed structs under a keyed hash, 1,200 bytes at the most.
+"""What members tell each other: typed structs in the cluster's envelope, 1,200 bytes at the most.
 
 Nothing here knows a socket or a clock. ``Codec.read`` says why it drops what it drops; whatever is dropped
 leaves nothing behind but a count.
@@ -6,51 +6,26 @@
 
 from __future__ import annotations
 
-import hashlib
-import hmac
 from collections.abc import Sequence
 
 import msgspec
 from msgspec import Struct
 
-DATAGRAM_MOST = 1200  # bytes; a datagram of it crosses every common link in one piece
-MAC_SIZE = 16
-KEY_LEAST, KEY_MOST = 16, 64  # bytes; the longest that blake2b takes
-TEXT_MOST = 64  # bytes of a name, a zone, a region, a host or the cluster's name
+from ironmill.membership.envelope import (
+    DATAGRAM_MOST,
+    INT_MOST,
+    Address,
+    Card,
+    DroppedError,
+    Envelope,
+    SignedCodec,
+    check_keys,
+    named,
+    short,
+    spelled,
+)
 
-Address = tuple[str, int]
-
-
-def spelled(address: Address) -> str:
-    """HOST:PORT."""
-    return f"{address[0]}:{address[1]}"
-
-
-def check_keys(keys: Sequence[bytes]) -> tuple[bytes, ...]:
-    """The keys; ValueError if there are none, too many, or any of the wrong length."""
-    if not 1 <= len(keys) <= 2 or not all(KEY_LEAST <= len(key) <= KEY_MOST for key in keys):
-        raise ValueError(f"one or two keys of {KEY_LEAST} to {KEY_MOST} bytes")
-    return tuple(keys)
-
-
-class DroppedError(Exception):
-    """A datagram that is not taken; its text is one of a few words, to be counted by."""
-
-
-class Card(Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
-    """What one process says of itself. A restart takes a higher incarnation under the same name."""
-
-    name: str
-    host: str
-    port: int
-    zone: str
-    region: str
-    incarnation: int  # at first the Unix time of the start, in milliseconds
-
-    @property
-    def address(self) -> Address:
-        """Where its datagrams go."""
-        return self.host, self.port
+__all__ = ["DATAGRAM_MOST", "Address", "Card", "DroppedError", "Envelope", "check_keys", "spelled"]
 
 
 class Fact(Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
@@ -135,23 +110,11 @@
 Message = Ping | Ack | Seek | Want | Page
 
 
-class Envelope(Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
-    """What the hash covers. ``to`` is empty where the receiver's name is not known yet."""
-
-    cluster: str
-    sender: str
-    incarnation: int
-    to: str
-    count: int  # of this incarnation's datagrams; a number seen twice is a replay
-    message: Message
-
-
 Rumour = Fact | Opinion
-_ENVELOPE = msgspec.msgpack.Decoder(Envelope)
+_ENVELOPE = msgspec.msgpack.Decoder(Envelope[Message])
 _FACT = msgspec.msgpack.Decoder(Fact)
 _OPINION = msgspec.msgpack.Decoder(Opinion)
 _ENCODER = msgspec.msgpack.Encoder()
-_INT_MOST = 1 << 62
 
 
 def pack(rumour: Rumour) -> bytes:
@@ -175,11 +138,11 @@
     """Bounds that types do not say. Guards memory, and sums, against a member that is out of its mind."""
     if isinstance(rumour, Fact):
         check_card(rumour.card)
-        fits = 0 <= rumour.flips < _INT_MOST
+        fits = 0 <= rumour.flips < INT_MOST
     else:
         fits = (
-            _fits(rumour.observer) and _fits(rumour.subject) and ACCUSES <= rumour.value <= VOUCHES
-            and all(0 <= n < _INT_MOST for n in (rumour.stamp, rumour.incarnation, rumour.flips))
+            named(rumour.observer) and named(rumour.subject) and ACCUSES <= rumour.value <= VOUCHES
+            and all(0 <= n < INT_MOST for n in (rumour.stamp, rumour.incarnation, rumour.flips))
         )
     if not fits:
         raise DroppedError("malformed")
@@ -187,73 +150,23 @@
 
 def check_card(card: Card) -> None:
     """The same for a card."""
-    texts = _fits(card.name) and _fits(card.host) and _short(card.zone) and _short(card.region)
-    if not (texts and 0 < card.port < 65536 and 0 < card.incarnation < _INT_MOST):
+    texts = named(card.name) and named(card.host) and short(card.zone) and short(card.region)
+    if not (texts and 0 < card.port < 65536 and 0 < card.incarnation < INT_MOST):
         raise DroppedError("malformed")
 
 
-def _short(text: str) -> bool:
-    return len(text) <= TEXT_MOST and len(text.encode(errors="replace")) <= TEXT_MOST
-
-
-def _fits(text: str) -> bool:
-    return bool(text) and _short(text)
-
-
-class Codec:
-    """Writes and reads datagrams of one cluster, under the newest key, and under the older one as well."""
+class Codec(SignedCodec[Message]):
+    """Datagrams of members."""
 
     def __init__(self, cluster: str, keys: Sequence[bytes]) -> None:
         """The first key signs; at most one more is taken as well, while keys are being replaced."""
-        if not _fits(cluster):
-            raise ValueError(f"the cluster's name has 1 to {TEXT_MOST} bytes")
-        self._cluster = cluster
-        self.keys = keys
+        super().__init__(cluster, keys, _ENVELOPE)
 
-    @property
-    def keys(self) -> Sequence[bytes]:
-        """The keys in force."""
-        return self._keys
-
-    @keys.setter
-    def keys(self, keys: Sequence[bytes]) -> None:
-        self._keys = check_keys(keys)
-
-    def write(self, sender: Card, to: str, count: int, message: Message) -> bytes:
-        """The datagram. ValueError if it is too large, which is the caller's fault."""
-        envelope = Envelope(self._cluster, sender.name, sender.incarnation, to, count, message)
-        body = _ENCODER.encode(envelope)
-        data = self._mac(self._keys[0], body) + body
-        if len(data) > DATAGRAM_MOST:
-            raise ValueError(f"a datagram of {len(data)} bytes")
-        return data
-
-    def read(self, data: bytes) -> Envelope:
-        """What it says; ``DroppedError`` if it is not of this cluster's members."""
-        if len(data) > DATAGRAM_MOST:
-            raise DroppedError("oversized")
-        if len(data) <= MAC_SIZE:
-            raise DroppedError("truncated")
-        mac, body = data[:MAC_SIZE], data[MAC_SIZE:]
-        if not any(hmac.compare_digest(self._mac(key, body), mac) for key in self._keys):
-            raise DroppedError("forged")
-        try:
-            envelope = _ENVELOPE.decode(body)
-        except (msgspec.DecodeError, RecursionError):
-            raise DroppedError("malformed") from None
-        if envelope.cluster != self._cluster:
-            raise DroppedError("foreign")
-        numbers = 0 <= envelope.count < _INT_MOST and 0 < envelope.incarnation < _INT_MOST
-        if not (numbers and _fits(envelope.sender)):
-            raise DroppedError("malformed")
-        if isinstance(envelope.message, Page):
-            for fact in envelope.message.facts:
+    def check(self, message: Message) -> None:
+        """Facts of a page are looked at here, rumours where they are unpacked."""
+        if isinstance(message, Page):
+            for fact in message.facts:
                 check(fact)
-        return envelope
-
-    @staticmethod
-    def _mac(key: bytes, body: bytes) -> bytes:
-        return hashlib.blake2b(body, key=key, digest_size=MAC_SIZE).digest()
 
 
 class Replays:
--- a/ironmill/net/membership.py
+++ b/ironmill/net/membership.py
@@ -16,7 +16,8 @@
 import msgspec
 
 from ironmill.logs import EventLog
-from ironmill.membership.member import Datagram, Member
+from ironmill.membership.envelope import Datagram
+from ironmill.membership.member import Member
 from ironmill.membership.timing import TICK
 from ironmill.membership.wire import DATAGRAM_MOST, Address, Card, Codec, spelled
 from ironmill.protocol.call import Answer
--- a/ironmill/operator.py
+++ b/ironmill/operator.py
@@ -56,7 +56,7 @@
 
 def read_member_keys(path: str) -> tuple[bytes, ...]:
     """One or two keys, a line each in hexadecimal; MalformedError, one line, if they are not fit for use."""
-    from ironmill.membership.wire import KEY_LEAST, KEY_MOST, check_keys
+    from ironmill.membership.envelope import KEY_LEAST, KEY_MOST, check_keys
 
     right = f"one or two lines of {2 * KEY_LEAST} to {2 * KEY_MOST} hexadecimal digits, the signing one first"
     try:
--- a/ironmill_lab/faults/swim.py
+++ b/ironmill_lab/faults/swim.py
@@ -15,7 +15,7 @@
 import msgspec
 from msgspec import Struct
 
-from ironmill.membership.member import Datagram
+from ironmill.membership.envelope import Datagram
 from ironmill.membership.wire import Address, Card, Fact
 
 PERIOD = 0.6  # seconds
--- a/ironmill_lab/faults/world.py
+++ b/ironmill_lab/faults/world.py
@@ -10,7 +10,8 @@
 
 from msgspec import Struct
 
-from ironmill.membership.member import Datagram, Member
+from ironmill.membership.envelope import Datagram
+from ironmill.membership.member import Member
 from ironmill.membership.timing import TICK, Timing
 from ironmill.membership.wire import Address, Card, Codec, Fact
 from ironmill_lab.faults.schedule import Fault, Links
