--- a/ironmill/distribution/revision.py
+++ b/ironmill/distribution/revision.py
@@ -59,11 +59,11 @@
 class Consumer(Protocol):
     """What the configuration is for: it is asked first, and then told."""
 
-    def check(self, changes: Mapping[str, bytes | None]) -> Refusal | None:
-        """Why these cannot come into force; None if they can. Nothing changes by it.
+    looked_up: tuple[str, ...]  # beginnings of keys that are read from the keyspace, one at a time: a whole
+    # keyspace that is caught up with brings none of them here, single steps do
 
-        It may be asked in several pieces, of which only the last one's keys are there.
-        """
+    def check(self, changes: Mapping[str, bytes | None]) -> Refusal | None:
+        """Why these cannot come into force; None if they can. Nothing changes by it."""
 
     def apply(self, changes: Mapping[str, bytes | None]) -> None:
         """They are in force from now on, all of them. Only what passed ``check`` comes here."""
@@ -113,6 +113,9 @@
     def undo(self, number: int) -> Changes:
         """What brings every key back to its value as of that revision; StoreError if that is not kept."""
 
+    def fenced(self) -> bool:
+        """True once another writer has opened the store."""
+
     def observe(self, epoch: int) -> None:
         """An epoch was seen in the fleet: the next opening takes a higher one."""
 
