Settings of distribution: where configuration comes from, and who hands it on

Cause: a proxy has to know its control machines, and a control machine its role, its keys and its store. Rates of bytes are a new unit: KB is 1,000 and KiB 1,024. Keys are read as the members' are.

--- a/ironmill/cli.py
+++ b/ironmill/cli.py
@@ -31,7 +31,8 @@
   -h --help         Show this text.
 
 serve runs one proxy in the foreground, check-config says whether serve would accept the
-configuration. A configuration that is not fit for use ends either with status 2. A TOKEN
+configuration; of a control machine, which has none, it reads the settings alone. What is not
+fit for use ends either with status 2. A TOKEN
 that is - is read from standard input, which keeps it out of the list of processes. CONTROL
 is the staff's address of a running process, as HOST:PORT.
 """
@@ -77,6 +78,9 @@
         return _keys_or_token(words)
     if words["members"]:
         return _members(words)
+    no_proxy = not words["--config"] and not os.environ.get("PROXY_CONFIG")
+    if words["check-config"] and words["--settings"] and no_proxy:
+        return _check_control(words["--settings"])
     read_all = read(os.environ, words["--config"], words["--settings"])
     if read_all is None:
         return 2
@@ -94,6 +98,21 @@
     return 0
 
 
+def _check_control(settings: str) -> int:
+    """A control machine has settings and no configuration."""
+    from ironmill.operator import read_operator
+
+    try:
+        distribution = read_operator(settings, ()).settings.distribution
+        if distribution is None or distribution.role == "subscriber":
+            load(os.environ)  # a proxy's, which are nothing without its configuration
+    except MalformedError as error:
+        print(f"ironmill: {error}", file=sys.stderr)
+        return 2
+    print(f"ironmill: the settings in {settings} are fit for use")
+    return 0
+
+
 def _serve(path: str | None, settings: str | None, poller: str) -> int:
     signals = Signals()  # before the file is read: by default SIGHUP would end the process
     try:
@@ -183,7 +202,14 @@
         return None
     from ironmill.operator import read_operator  # here, for what is off is not imported
 
-    return read_operator(settings, config.wait_limits)
+    operator = read_operator(settings, config.wait_limits)
+    distribution = operator.settings.distribution
+    if distribution is not None and distribution.role != "subscriber":
+        raise MalformedError(
+            f"{settings}: distribution's role is {distribution.role!r}, which is a control machine's; "
+            "a proxy is a subscriber"
+        )
+    return operator
 
 
 def serve(path: str | None, settings: str | None, signals: Signals, poller: str) -> int:
--- a/ironmill/operator.py
+++ b/ironmill/operator.py
@@ -27,6 +27,7 @@
     tls: ServerTls | None = None  # there if the settings hold a listener for TLS
     upstream: ssl.SSLContext | None = None  # there if the settings ask for TLS to servers
     member_keys: tuple[bytes, ...] = ()  # there if the settings hold a membership
+    distribution_keys: tuple[bytes, ...] = ()  # there if the settings hold a distribution
 
 
 def read_operator(path: str, classes: Collection[str]) -> Operator:
@@ -43,18 +44,21 @@
         raise MalformedError(str(error)) from None
     identity: Identity | None = settings.identity
     ring = None if identity is None else read_ring(identity.keys)
-    member_keys = () if settings.membership is None else read_member_keys(settings.membership.keys)
+    member_keys = () if settings.membership is None else read_keys(settings.membership.keys, "members'")
+    distribution = settings.distribution
+    distribution_keys = () if distribution is None else read_keys(distribution.keys, "distribution's")
     if settings.tls is None and settings.upstream is None:
-        return Operator(settings, ring, member_keys=member_keys)
+        return Operator(settings, ring, member_keys=member_keys, distribution_keys=distribution_keys)
     from ironmill.tls_context import server_tls, upstream_tls
 
     return Operator(
         settings, ring, None if settings.tls is None else server_tls(settings.tls),
         None if settings.upstream is None else upstream_tls(settings.upstream), member_keys,
+        distribution_keys,
     )
 
 
-def read_member_keys(path: str) -> tuple[bytes, ...]:
+def read_keys(path: str, whose: str) -> tuple[bytes, ...]:
     """One or two keys, a line each in hexadecimal; MalformedError, one line, if they are not fit for use."""
     from ironmill.membership.wire import KEY_LEAST, KEY_MOST, check_keys
 
@@ -62,9 +66,9 @@
     try:
         return check_keys([bytes.fromhex(line) for line in Path(path).read_text("ascii").split()])
     except OSError as error:
-        raise MalformedError(f"{path}: the members' keys cannot be read: {error.strerror}") from None
+        raise MalformedError(f"{path}: the {whose} keys cannot be read: {error.strerror}") from None
     except ValueError:
-        raise MalformedError(f"{path}: the members' keys are not {right}") from None
+        raise MalformedError(f"{path}: the {whose} keys are not {right}") from None
 
 
 def read_ring(path: str) -> KeyRing:
--- a/ironmill/settings/load.py
+++ b/ironmill/settings/load.py
@@ -15,6 +15,8 @@
 
 from ironmill.identity.rules import Caller, CallerRule, Identity, Rights, TokenMatch
 from ironmill.settings.model import (
+    ControlMachine,
+    DistributionSettings,
     LogSettings,
     MembershipSettings,
     OperatorSettings,
@@ -22,14 +24,18 @@
     TlsSettings,
     UpstreamTls,
 )
-from ironmill.units import duration, rate
+from ironmill.units import duration, rate, size_rate
 
 SIZE_MOST = 1 << 20
+TEXT_MOST = 64  # of a name, a zone, a region or a cluster, as datagrams carry them
+STALE_LEAST, STALE_MOST = 1.0, 5.0
+CATCH_UP_LEAST, CATCH_UP_MOST = 4e3, 1e9  # bytes a second
 NAMESPACE = "urn:ironmill:settings:1"
 # What would be right, where the schema's own message shows only a regular expression.
 _HINTS = {
     "duration": "a duration has a unit, as in 250ms, 30s or 2m",
     "rate": "a rate is a number and its unit, as in 50/s or 10/m",
+    "size": "a rate of bytes is a number and its unit, as in 128KiB/s or 2MB/s",
     "standing": "it is keep, or move-within= and a duration, as in move-within=30s",
     "name": "a name begins with a letter or digit and goes on with those or any of . _ : @ -",
     "alternative": "it is dns:, uri: or email: and a pattern, as in dns:*.farm.example",
@@ -91,6 +97,7 @@
 _SHAPES = {
     "duration": "'[0-9]{1,9}(\\.[0-9]{1,6})?(ms|s|m|h|d)'",
     "rate": "'[0-9]{1,9}(\\.[0-9]{1,6})?/(s|m|h)'",
+    "size": "'[0-9]{1,9}(\\.[0-9]{1,6})?(B|KB|MB|KiB|MiB)/s'",
     "standing": "'keep|move-within=",
     "name": "'[A-Za-z0-9][A-Za-z0-9._:@-]{0,127}'",
     "alternative": "'(dns|uri|email):",
@@ -117,8 +124,16 @@
         self._classes = classes
 
     def build(self, root: etree._Element) -> OperatorSettings:
-        names = ("log", "identity", "tls", "issuer-hosts-tls", "membership")
-        log, identity, tls, upstream, membership = (self._child(root, name) for name in names)
+        names = ("log", "identity", "tls", "issuer-hosts-tls", "membership", "distribution")
+        log, identity, tls, upstream, membership, distribution = (self._child(root, name) for name in names)
+        if distribution is not None and (role := _text(distribution, "role")) != "subscriber":
+            for element in (identity, tls, upstream, membership):
+                if element is not None:
+                    name = etree.QName(element).localname
+                    raise self._error(
+                        element, f"{name} is for proxies; the settings of a control machine, with "
+                        f"distribution's role={role!r}, hold log and distribution"
+                    )
         return OperatorSettings(
             path=self._path,
             log=None if log is None else LogSettings(_text(log, "form"), _text(log, "level")),
@@ -126,6 +141,7 @@
             tls=None if tls is None else self._tls(tls),
             upstream=None if upstream is None else self._upstream(upstream),
             membership=None if membership is None else self._membership(membership),
+            distribution=None if distribution is None else self._distribution(distribution),
         )
 
     def _tls(self, element: etree._Element) -> TlsSettings:
@@ -165,14 +181,66 @@
             if name in peers:
                 raise self._error(it, f"peer {name!r} is named twice")
             peers[name] = self._address(it, "address")
-        for name in ("cluster", "zone", "region"):
-            if len(_text(element, name)) > 64:
-                raise self._error(element, f"{name} has 64 characters at most")
+        self._short(element, "cluster", "zone", "region")
         return MembershipSettings(
             _text(element, "cluster"), listen, self._beside(element, "keys"), _text(element, "zone"),
             _text(element, "region"), seeds, tuple(peers.items()), timing,
         )
 
+    def _distribution(self, element: etree._Element) -> DistributionSettings:
+        role = _text(element, "role")
+        if ("store" in element.attrib) is not (role == "origin"):
+            raise self._error(element, f"store is needed for role='origin' and only there; role is {role!r}")
+        if role == "origin" and not _text(element, "store").strip():
+            raise self._error(element, "store names no file")
+        stale, forget = (duration(_text(element, name)) for name in ("stale-after", "forget-after"))
+        if not STALE_LEAST <= stale <= STALE_MOST:
+            raise self._error(
+                element, f"stale-after is {stale:g}s; it is {STALE_LEAST:g}s to {STALE_MOST:g}s"
+            )
+        if forget < stale:
+            raise self._error(
+                element, f"forget-after is {forget:g}s, and at least stale-after, which is {stale:g}s"
+            )
+        catch_up = size_rate(_text(element, "catch-up-rate"))
+        if not CATCH_UP_LEAST <= catch_up <= CATCH_UP_MOST:
+            raise self._error(
+                element, f"catch-up-rate {_text(element, 'catch-up-rate')} is out of bounds; "
+                "it is 4KB/s to 1000MB/s"
+            )
+        self._short(element, "cluster", "zone", "region")
+        listen = self._address(element, "listen")
+        controls = self._controls(element)
+        if role == "relay" and not any(control.origin for control in controls):
+            raise self._error(element, "a relay needs an origin; origin='true' says which control is one")
+        return DistributionSettings(
+            _text(element, "cluster"), listen, self._beside(element, "keys"), controls,
+            _text(element, "zone"), _text(element, "region"), role, self._beside(element, "store"),
+            catch_up, stale, forget,
+        )
+
+    def _controls(self, element: etree._Element) -> tuple[ControlMachine, ...]:
+        controls: dict[str, ControlMachine] = {}
+        homes: dict[tuple[str, int], str] = {}
+        for it in self._children(element, "control"):
+            self._short(it, "name", "zone", "region")
+            control = ControlMachine(
+                _text(it, "name"), self._address(it, "address"), _text(it, "zone"), _text(it, "region"),
+                _text(it, "origin") in ("true", "1"),
+            )
+            if control.name in controls:
+                raise self._error(it, f"control {control.name!r} is named twice")
+            if control.address in homes:
+                other = homes[control.address]
+                raise self._error(it, f"control {control.name!r} is at the address of {other!r}")
+            controls[control.name], homes[control.address] = control, control.name
+        return tuple(controls.values())
+
+    def _short(self, element: etree._Element, *names: str) -> None:
+        for name in names:
+            if len(_text(element, name)) > TEXT_MOST:
+                raise self._error(element, f"{name} has {TEXT_MOST} characters at most")
+
     def _address(self, element: etree._Element, name: str) -> tuple[str, int]:
         host, _, port = _text(element, name).rpartition(":")
         if not 0 < int(port) <= 65535:
--- a/ironmill/settings/model.py
+++ b/ironmill/settings/model.py
@@ -56,6 +56,34 @@
     timing: Timing
 
 
+@dataclass(frozen=True, slots=True)
+class ControlMachine:
+    """A control machine, as it is reached from here."""
+
+    name: str
+    address: tuple[str, int]
+    zone: str = "none"
+    region: str = "none"
+    origin: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class DistributionSettings:
+    """Where configuration comes from, or who hands it on. Paths are whole, times in seconds."""
+
+    cluster: str
+    listen: tuple[str, int]  # UDP
+    keys: str
+    controls: tuple[ControlMachine, ...]
+    zone: str = "none"
+    region: str = "none"
+    role: str = "subscriber"  # a proxy; of control machines: relay or origin
+    store: str = ""  # the origin's
+    catch_up_rate: float = 128 * 1024.0  # bytes a second
+    stale_after: float = 4.0
+    forget_after: float = 3600.0
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
     """One settings file, whole."""
@@ -66,6 +94,7 @@
     tls: TlsSettings | None = None
     upstream: UpstreamTls | None = None
     membership: MembershipSettings | None = None
+    distribution: DistributionSettings | None = None
 
 
 class SettingsError(Exception):
