--- a/ironmill/net/revision_store.py
+++ b/ironmill/net/revision_store.py
@@ -185,6 +185,11 @@
                 )
             return changes
 
+    def fenced(self) -> bool:
+        """True once another process has opened the store since this one did. StoreError."""
+        with self._plain():
+            return self._number("epoch") != self.epoch
+
     def observe(self, epoch: int) -> None:
         """An epoch was seen in the fleet: the next opening takes a higher one. StoreError."""
         if not 0 <= epoch < NUMBER_MOST - 1:
--- a/tests/test_revision_store.py
+++ b/tests/test_revision_store.py
@@ -138,7 +138,10 @@
     def second_writer(self) -> None:
         if self.fenced is not None:
             self.fenced.close()
+        assert not self.store.fenced()
         self.fenced, self.store = self.store, SqliteStore(str(self.folder / "store"), KEEP)
+        assert self.fenced.fenced()
+        assert not self.store.fenced()
 
     @precondition(lambda self: self.fenced is not None)
     @rule(changes=CHANGES)
@@ -291,7 +294,7 @@
     store.close()
     for call in (
         lambda: put(store, {"a": b"1"}), lambda: list(store.entries()), lambda: store.history(1),
-        lambda: store.undo(0), lambda: store.committed("t"), lambda: store.observe(9),
+        lambda: store.undo(0), lambda: store.committed("t"), lambda: store.observe(9), store.fenced,
     ):
         with pytest.raises(StoreError, match="the store fails: Cannot operate on a closed database"):
             call()
