Staff's calls may bring a query and a body, and the table of calls is no longer a proxy's alone

Cause: a change of configuration comes in the body of a call, to a control machine, which has no figures and no lifecycle. Change: routes.Routes is the table; staff.Staff is a proxy's, made of it. Paths that want them are named, and of their calls query and body are handed on; of all others they are thrown away as before. The bound of 64 KiB and its 413 are the same for both. An action is handed the call.

--- a/ironmill/net/control.py
+++ b/ironmill/net/control.py
@@ -14,8 +14,8 @@
 from ironmill.net.listener import Listener
 from ironmill.net.sockets import Stream, TimedOutError
 from ironmill.protocol.call import Answer, Call
+from ironmill.routes import Routes
 from ironmill.scheduler import Scheduler, Task
-from ironmill.staff import Staff
 
 if TYPE_CHECKING:
     from ironmill.protocol.calls import CallSide
@@ -31,7 +31,7 @@
 class Control:
     """Listens at the second address."""
 
-    def __init__(self, scheduler: Scheduler, address: tuple[str, int], staff: Staff) -> None:
+    def __init__(self, scheduler: Scheduler, address: tuple[str, int], staff: Routes) -> None:
         self._scheduler = scheduler
         self._staff = staff
         self._callers: dict[Stream, Task] = {}  # the oldest first
@@ -57,7 +57,7 @@
         from ironmill.protocol.calls import CallSide  # at the first call: h11 is a tenth of the start
 
         try:
-            side = CallSide()
+            side = CallSide(self._staff.detailed)
             answer = self._hear(stream, side)
             if answer is not None:
                 stream.send(side.answer(answer), ANSWER_WAIT)
--- a/ironmill/net/membership.py
+++ b/ironmill/net/membership.py
@@ -19,7 +19,7 @@
 from ironmill.membership.member import Datagram, Member
 from ironmill.membership.timing import TICK
 from ironmill.membership.wire import DATAGRAM_MOST, Address, Card, Codec, spelled
-from ironmill.protocol.call import Answer
+from ironmill.protocol.call import Answer, Call
 from ironmill.scheduler import READ, Scheduler, Task
 from ironmill.settings.model import MembershipSettings
 
@@ -79,7 +79,7 @@
         self._scheduler.forget(self._sock.fileno())
         self._sock.close()
 
-    def shown(self) -> Answer:
+    def shown(self, _: Call) -> Answer:
         """The view, as staff ask for it."""
         member = self.member
         members = [
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -103,7 +103,7 @@
 
             staff = Staff(self.gateway)
             if self.membership is not None:
-                staff.routes["/admin/members"] = {"GET": self.membership.shown}
+                staff.add("/admin/members", {"GET": self.membership.shown})
             self.control = Control(self.scheduler, config.control, staff)
         self.tls_listener: Listener | None = None
         if operator is not None and operator.settings.tls is not None and operator.tls is not None:
--- a/ironmill/protocol/call.py
+++ b/ironmill/protocol/call.py
@@ -14,6 +14,8 @@
 
     method: str
     path: str  # without its query
+    query: str = ""  # it and the body are those of calls that want them
+    body: bytes = b""
 
 
 class Answer(Struct, frozen=True):
--- a/ironmill/protocol/calls.py
+++ b/ironmill/protocol/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from http import HTTPStatus
 
 import h11
@@ -9,16 +10,18 @@
 from ironmill.protocol.call import Answer, Call
 
 HEAD_MOST = 8 * 1024
-BODY_MOST = 64 * 1024  # no call wants one; it is read and thrown away
+BODY_MOST = 64 * 1024  # where a call wants none it is read and thrown away
 
 
 class CallSide:
-    """One connection with one call."""
+    """One connection with one call. Of calls to the ``detailed`` paths query and body are handed on."""
 
-    def __init__(self) -> None:
+    def __init__(self, detailed: Collection[str] = ()) -> None:
+        self._detailed = detailed
         self._connection = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
         self._request: h11.Request | None = None
-        self._body = 0
+        self._size = 0
+        self._body: list[bytes] = []
 
     def receive(self, data: bytes) -> Call | Answer | None:
         """Bytes came, none at the end: the call once it is whole, an answer if it can be none."""
@@ -29,17 +32,27 @@
                 if isinstance(event, h11.Request):
                     self._request = event
                 elif isinstance(event, h11.Data):
-                    self._body += len(event.data)
-                    if self._body > BODY_MOST:
+                    self._size += len(event.data)
+                    if self._size > BODY_MOST:
                         return Answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+                    if self._target()[0] in self._detailed:
+                        self._body.append(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage) and self._request is not None:
-                    path = self._request.target.decode("ascii", "replace").partition("?")[0]
-                    return Call(self._request.method.decode("ascii"), path)
+                    (path, query), method = self._target(), self._request.method.decode("ascii")
+                    if path not in self._detailed:
+                        return Call(method, path)
+                    return Call(method, path, query, b"".join(self._body))
                 else:
                     return None
         except h11.RemoteProtocolError as error:
             return Answer(HTTPStatus(error.error_status_hint))
 
+    def _target(self) -> tuple[str, str]:
+        """Path and query."""
+        target = b"" if self._request is None else self._request.target
+        path, _, query = target.decode("ascii", "replace").partition("?")
+        return path, query
+
     def answer(self, answer: Answer) -> bytes:
         """The bytes of the answer; empty where none can be given any more."""
         headers = [
