Revisions: the store tells a writer that another one has opened it

Cause: an origin that only pushes seldom would otherwise learn late that it is one no more. Change: SqliteStore.fenced reads the file's epoch. Tests: in the state machine, and after the close.

--- a/ironmill/net/revision_store.py
+++ b/ironmill/net/revision_store.py
@@ -194,6 +194,11 @@
         with self._plain(), self._transaction():
             self._set("observed", max(epoch, self._number("observed")))
 
+    def fenced(self) -> bool:
+        """True once another process has opened the store, so that this one may write no more. StoreError."""
+        with self._plain():
+            return self._number("epoch") != self.epoch
+
     # Within a transaction
 
     def _keep_revision(
--- a/tests/test_revision_store.py
+++ b/tests/test_revision_store.py
@@ -144,6 +144,7 @@
     @rule(changes=CHANGES)
     def the_first_one_writes(self, changes: Changes) -> None:
         assert self.fenced is not None
+        assert self.fenced.fenced()
         with pytest.raises(FencedError, match="another process has opened the store"):
             self.fenced.commit(changes, 0.0, "", "", "fenced")
 
@@ -171,6 +172,7 @@
     def check(self) -> None:
         assert dict(self.store.entries()) == self.states[-1]
         assert self.store.position.number == len(self.states) - 1
+        assert not self.store.fenced()
         assert self.store.history(1000) == self.entries[::-1][:KEEP]
         assert self.store.history(2) == self.entries[::-1][:2]
 
@@ -292,6 +294,7 @@
     for call in (
         lambda: put(store, {"a": b"1"}), lambda: list(store.entries()), lambda: store.history(1),
         lambda: store.undo(0), lambda: store.committed("t"), lambda: store.observe(9),
+        lambda: store.fenced(),
     ):
         with pytest.raises(StoreError, match="the store fails: Cannot operate on a closed database"):
             call()
