--- a/ironmill/net/membership.py
+++ b/ironmill/net/membership.py
@@ -14,7 +14,7 @@
 from ironmill.membership.timing import TICK
 from ironmill.membership.wire import Address, Card, Codec, spelled
 from ironmill.net.datagrams import Datagrams
-from ironmill.protocol.call import Answer
+from ironmill.protocol.call import Answer, Call
 from ironmill.scheduler import Scheduler
 from ironmill.settings.model import MembershipSettings
 
@@ -55,7 +55,7 @@
         self._datagrams.send(self.member.leave(time.monotonic()))
         self._datagrams.close()
 
-    def shown(self) -> Answer:
+    def shown(self, _: Call) -> Answer:
         """The view, as staff ask for it."""
         member = self.member
         members = [
--- a/tests/test_revision_store.py
+++ b/tests/test_revision_store.py
@@ -147,6 +147,7 @@
     @rule(changes=CHANGES)
     def the_first_one_writes(self, changes: Changes) -> None:
         assert self.fenced is not None
+        assert self.fenced.fenced()
         with pytest.raises(FencedError, match="another process has opened the store"):
             self.fenced.commit(changes, 0.0, "", "", "fenced")
 
@@ -174,6 +175,7 @@
     def check(self) -> None:
         assert dict(self.store.entries()) == self.states[-1]
         assert self.store.position.number == len(self.states) - 1
+        assert not self.store.fenced()
         assert self.store.history(1000) == self.entries[::-1][:KEEP]
         assert self.store.history(2) == self.entries[::-1][:2]
 
