--- a/ironmill/distribution/node.py
+++ b/ironmill/distribution/node.py
@@ -19,9 +19,13 @@
     Changes,
     Consumer,
     Delta,
+    Entry,
     FencedError,
+    HeadError,
+    NotOriginError,
     Position,
     Refusal,
+    RefusedError,
     RevisionStore,
     StoreError,
     check_changes,
@@ -54,22 +58,6 @@
 Check = Callable[[Changes], Refusal | None]
 
 
-class RefusedError(Exception):
-    """The changes are not fit to be in force; nothing was kept."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(f"{refusal.key}: {refusal.reason}")
-        self.refusal = refusal
-
-
-class NotOriginError(Exception):
-    """This process does not hold the order of changes; the text says what it is."""
-
-
-class HeadError(Exception):
-    """The newest revision is not the one that was expected."""
-
-
 class Node:
     """What all roles share: datagrams in and out."""
 
@@ -315,6 +303,10 @@
         """What brings every key back to its value as of that revision; StoreError."""
         return self._store.undo(number)
 
+    def history(self, most: int) -> list[Entry]:
+        """The last revisions, the newest first; StoreError."""
+        return self._store.history(most)
+
     def summary(self, room: int = LAGGARDS_SHOWN) -> Summary:
         """What is known of the whole fleet: a relay that is away is a laggard of its own."""
         summary = self.publisher.summary(room)
--- a/ironmill/distribution/revision.py
+++ b/ironmill/distribution/revision.py
@@ -69,6 +69,22 @@
         """They are in force from now on, all of them. Only what passed ``check`` comes here."""
 
 
+class RefusedError(Exception):
+    """The changes are not fit to be in force; nothing was kept."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(f"{refusal.key}: {refusal.reason}")
+        self.refusal = refusal
+
+
+class HeadError(Exception):
+    """The newest revision is not the one that was expected; the text names it."""
+
+
+class NotOriginError(Exception):
+    """This process does not hold the order of changes any more; the text says what it is."""
+
+
 class StoreError(Exception):
     """The store did not take a revision, or cannot be read; nothing of it is kept. One line."""
 
--- a/ironmill_lab/faults/checker.py
+++ b/ironmill_lab/faults/checker.py
@@ -19,8 +19,8 @@
     fields: dict[str, Any]
 
 
-def read_logs(folder: Path, names: Sequence[str]) -> list[Seen]:
-    """What the members have told, in the order of time. A line that is cut off by a kill is passed over."""
+def read_logs(folder: Path, names: Sequence[str], about: str = "member") -> list[Seen]:
+    """What these have told of it, in the order of time. A line that is cut off by a kill is passed over."""
     seen: list[Seen] = []
     for name in names:
         path = folder / f"{name}.log"
@@ -30,8 +30,8 @@
             except orjson.JSONDecodeError:
                 continue
             text = str(event.get("event", ""))
-            if text.startswith("member ") and "at" in event:
-                seen.append(Seen(float(event["at"]), name, text.removeprefix("member "), event))
+            if text.startswith(f"{about} ") and "at" in event:
+                seen.append(Seen(float(event["at"]), name, text.removeprefix(f"{about} "), event))
     seen.sort(key=lambda one: one.at)
     return seen
 
--- /dev/null
+++ b/ironmill_lab/faults/control_town.py
@@ -0,0 +1,116 @@
+"""Several processes of ``ironmill serve`` and their control machines, behind a switch."""
+
+from __future__ import annotations
+
+import http.client
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from ironmill.membership.wire import Address, spelled
+from ironmill_lab.faults.checker import Seen, read_logs
+from ironmill_lab.faults.town import Town
+from ironmill_lab.processes import Process, ProxyProcess
+
+ORIGIN = "c00"
+CALL_WAIT = 3.0
+Form = tuple[int, int]  # epoch, number
+
+
+def place(text: str) -> Form:
+    """A position as it is spelled."""
+    epoch, _, number = text.partition(".")
+    return int(epoch), int(number)
+
+
+class ControlTown(Town):
+    """``c00`` is the origin, the other ``c`` are relays, ``p`` are proxies. Their logs are the story."""
+
+    def __init__(self, folder: Path, proxies: int = 8, controls: int = 3, identity: str = "") -> None:
+        """``identity`` is an element of the proxies' settings."""
+        self.machines = [f"c{at:02d}" for at in range(controls)]
+        self.proxies = [f"p{at:02d}" for at in range(proxies)]
+        self._identity = identity
+        self._ticket = 0
+        super().__init__(folder, 0, names=[*self.machines, *self.proxies])
+
+    def zone(self, name: str) -> str:
+        """The zone of one of them."""
+        return f"z{int(name[1:]) % 3}"
+
+    def _write(self, name: str) -> None:
+        proxy = name in self.proxies
+        if proxy:
+            self._write_config(name, len(self.proxies))
+        role = "subscriber" if proxy else "origin" if name == ORIGIN else "relay"
+        store = ' store="store"' if role == "origin" else ""
+        known = [one for one in self.machines if one != name]
+        lines = [
+            '<ironmill xmlns="urn:ironmill:settings:1">', '<log form="json"/>',
+            f'<distribution cluster="town" listen="{spelled(self._homes[name])}" keys="members.keys" '
+            f'zone="{self.zone(name)}" region="r" role="{role}"{store} stale-after="4s">',
+            *(f'<control name="{one}" address="{spelled(self.switch.door(name, one))}" '
+              f'zone="{self.zone(one)}" region="r"{self._origin(one)}/>' for one in known),
+            "</distribution>",
+        ]
+        if proxy and self._identity:
+            lines.append(self._identity)
+        (self.folder / f"{name}.xml").write_text("\n".join([*lines, "</ironmill>"]))
+
+    @staticmethod
+    def _origin(name: str) -> str:
+        return ' origin="true"' if name == ORIGIN else ""
+
+    def _process(self, name: str) -> Process:
+        settings = f"--settings={self.folder / f'{name}.xml'}"
+        if name in self.proxies:
+            return ProxyProcess(self.folder / f"{name}.json", self.folder, more=[settings])
+        words = ["-m", "ironmill", "control", name, settings, f"--staff={spelled(self.controls[name])}"]
+        return Process(words, self.folder, name)
+
+    # Calls
+
+    def call(self, name: str, method: str, path: str, body: object = None) -> tuple[int, Any]:
+        """Status and answer of a staff call; 0 where nobody answers."""
+        call = http.client.HTTPConnection(*self.controls[name], timeout=CALL_WAIT)
+        try:
+            data = None if body is None else orjson.dumps(body)
+            call.request(method, path, data)
+            answer = call.getresponse()
+            text = answer.read()
+            return answer.status, orjson.loads(text) if text else None
+        except (OSError, http.client.HTTPException):
+            return 0, None
+        finally:
+            call.close()
+
+    def status(self, name: str) -> dict[str, Any]:
+        """What it tells of distribution; empty where it does not answer."""
+        found: dict[str, Any] = self.call(name, "GET", "/admin/configuration")[1] or {}
+        return found
+
+    def push(self, changes: dict[str, str | None], note: str = "") -> Form:
+        """One more revision by the origin; its position. RuntimeError where it was not taken."""
+        self._ticket += 1
+        body = {"changes": changes, "author": "town", "note": note, "ticket": f"t{self._ticket}"}
+        status, told = self.call(ORIGIN, "POST", "/admin/configuration/revisions", body)
+        if status != 201:
+            raise RuntimeError(f"not taken: {status} {told}")
+        return place(told["position"])
+
+    def in_force(self, name: str) -> Form:
+        """What is in force there; (0, 0) where it does not answer."""
+        return place(self.status(name).get("in_force", "0.0"))
+
+    def all_at(self, position: Form, names: list[str] | None = None) -> bool:
+        """True if that, or something newer, is in force at all of these, by default all proxies."""
+        return all(self.in_force(name) >= position for name in names or self.proxies)
+
+    def seen(self) -> list[Seen]:
+        """What all have logged of distribution."""
+        return read_logs(self.folder, self.names, "distribution")
+
+    def addresses(self) -> list[Address]:
+        """Where clients find the proxies."""
+        return [self.clients[name] for name in self.proxies]
--- a/ironmill_lab/faults/town.py
+++ b/ironmill_lab/faults/town.py
@@ -16,7 +16,7 @@
 from ironmill_lab.faults.checker import Seen, read_logs
 from ironmill_lab.faults.schedule import Fault, Links
 from ironmill_lab.faults.switch import Switch
-from ironmill_lab.processes import Neighbours, ProxyProcess, free_port
+from ironmill_lab.processes import Neighbours, Process, ProxyProcess, free_port
 from ironmill_lab.settings import platform_settings, proxy_config, write_config
 
 SEEDS = 2
@@ -27,11 +27,14 @@
 class Town:
     """The processes, by name. Their logs are the story."""
 
-    def __init__(self, folder: Path, count: int, hosts: int = 2, membership: bool = True) -> None:
+    def __init__(
+        self, folder: Path, count: int, hosts: int = 2, membership: bool = True,
+        names: Sequence[str] | None = None,
+    ) -> None:
         self.folder = folder
-        self.names = [f"m{at:02d}" for at in range(count)]
+        self.names = [f"m{at:02d}" for at in range(count)] if names is None else list(names)
         self.switch = Switch(self.names)
-        self.processes: dict[str, ProxyProcess] = {}
+        self.processes: dict[str, Process] = {}
         self.controls: dict[str, Address] = {}
         self.clients: dict[str, Address] = {}
         self._homes = {name: ("127.0.0.1", free_port()) for name in self.names}
@@ -59,11 +62,14 @@
         self._stack.close()
         self.switch.stop()
 
-    def _write(self, name: str) -> None:
-        settings = platform_settings(len(self.names))
+    def _write_config(self, name: str, proxies: int) -> None:
+        settings = platform_settings(proxies)
         value = proxy_config(name, self.clients[name], self.neighbours.discovery, 1024, settings)
         value["control"] = spelled(self.controls[name])
         write_config(self.folder, value)
+
+    def _write(self, name: str) -> None:
+        self._write_config(name, len(self.names))
         seeds = [
             self._homes[seed] if seed == name else self.switch.door(name, seed) for seed in self.names[:SEEDS]
         ]
@@ -85,9 +91,11 @@
     def start(self, *names: str) -> None:
         """Start these, or all."""
         for name in names or self.names:
-            more = [f"--settings={self.folder / f'{name}.xml'}"]
-            process = ProxyProcess(self.folder / f"{name}.json", self.folder, more=more)
-            self.processes[name] = self._stack.enter_context(process)
+            self.processes[name] = self._stack.enter_context(self._process(name))
+
+    def _process(self, name: str) -> Process:
+        more = [f"--settings={self.folder / f'{name}.xml'}"]
+        return ProxyProcess(self.folder / f"{name}.json", self.folder, more=more)
 
     def kill(self, *names: str) -> float:
         """End these without a word; when."""
