Configuration: staff's calls to push, revert and look, and the commands that make them

Cause: whoever changes the configuration of a fleet has to learn whether it was taken, by whom not, and when it is in force everywhere. Change: configuration_calls answers POST revisions and revert, GET status and history over a Writer and a Reader, without I/O: 201 with the position, 400 not in form, 409 with key and reason, 412 another head, 503 no origin, which is named, or a store that fails. ironmill config push, revert, status, history and wait make them; a push brings a ticket and is sent again where its answer is lost; wait names who refuses, is behind or is unreachable, and ends with 0 everywhere, 1 not in time, 2 not asked or not taken. Left: RefusedError, HeadError and NotOriginError are defined here until distribution/revision.py has them. Tests: 47, with commands as processes against a staff's address over a real store.

--- a/ironmill/cli.py
+++ b/ironmill/cli.py
@@ -11,6 +11,13 @@
   ironmill token inspect TOKEN
   ironmill caller explain TOKEN --settings=FILE [--config=FILE]
   ironmill members CONTROL [--watch]
+  ironmill config push CONTROL [CHANGE...] [--file=JSON] [--author=NAME] [--note=TEXT]
+                       [--expect=POSITION] [--wait] [--within=SPAN]
+  ironmill config status CONTROL
+  ironmill config history CONTROL [--most=COUNT]
+  ironmill config revert CONTROL REVISION [--author=NAME] [--note=TEXT] [--expect=POSITION]
+                         [--wait] [--within=SPAN]
+  ironmill config wait CONTROL POSITION [--within=SPAN]
   ironmill version
   ironmill (-h | --help)
 
@@ -28,6 +35,13 @@
   --lifetime=SPAN   How long the token is good [default: 1h].
   --kid=KID         The key that signs, instead of the ring's signing one.
   --watch           Show the members again each time they change.
+  --file=JSON       More changes: an object of keys, and of texts or null.
+  --author=NAME     Who changes it; without it, who runs the command.
+  --note=TEXT       Why.
+  --expect=POSITION  Change nothing unless this is the newest revision.
+  --wait            Come back once it is in force everywhere, or with status 1.
+  --within=SPAN     How long to wait for that [default: 10s].
+  --most=COUNT      How many revisions to show [default: 20].
   -h --help         Show this text.
 
 serve runs one proxy in the foreground, check-config says whether serve would accept the
@@ -35,6 +49,10 @@
 fit for use ends either with status 2. A TOKEN
 that is - is read from standard input, which keeps it out of the list of processes. CONTROL
 is the staff's address of a running process, as HOST:PORT.
+
+A CHANGE of configuration is KEY=VALUE, or KEY- to delete the key; all of one push come into
+force together. A POSITION is EPOCH.NUMBER, as push tells it. config push, revert and wait end
+with status 1 where a revision is kept and not in force everywhere in time.
 """
 
 from __future__ import annotations
@@ -78,6 +96,8 @@
         return _keys_or_token(words)
     if words["members"]:
         return _members(words)
+    if words["config"]:
+        return _config(words)
     no_proxy = not words["--config"] and not os.environ.get("PROXY_CONFIG")
     if words["check-config"] and words["--settings"] and no_proxy:
         return _check_control(words["--settings"])
@@ -171,6 +191,48 @@
     return 0
 
 
+def _config(words: Mapping[str, Any]) -> int:
+    from ironmill.commands import config  # here, for a proxy needs none of it
+    from ironmill.commands.keys import CommandError
+    from ironmill.config import address
+
+    try:
+        control = address(words["CONTROL"], "CONTROL")
+        within = _span(words["--within"])
+        if words["status"] or words["history"]:
+            shown = config.table(config.status(control)) if words["status"] else (
+                config.history(control, words["--most"])
+            )
+            for line in shown:
+                print(line)
+            return 0
+        if words["push"] or words["revert"]:
+            author = config.author() if words["--author"] is None else words["--author"]
+            about = author, words["--note"] or "", words["--expect"] or ""
+            if words["push"]:
+                changes = config.read_changes(words["CHANGE"], words["--file"])
+                position = config.push(control, changes, *about)
+            else:
+                position = config.revert(control, words["REVISION"], *about)
+            print(f"{position} is kept", flush=True)
+            if not words["--wait"]:
+                return 0
+        else:
+            position = config.to_position(words["POSITION"])
+        lines = config.wait(control, position, within)
+        while True:
+            try:
+                print(next(lines), flush=True)
+            except StopIteration as end:
+                status: int = end.value
+                return status
+    except (config.ConfigError, CommandError, MalformedError) as error:
+        print(f"ironmill: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 2
+
+
 def _token(words: Mapping[str, Any]) -> bytes:
     text: str = words["TOKEN"]
     return (sys.stdin.readline() if text == "-" else text).strip().encode()
--- /dev/null
+++ b/tests/test_configuration_calls.py
@@ -0,0 +1,484 @@
+"""Staff's calls on configuration over a stub of an origin, and the commands that make them."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ironmill import configuration_calls
+from ironmill.commands import config
+from ironmill.commands.config import ConfigError
+from ironmill.configuration_calls import (
+    AUTHOR_MOST,
+    HISTORY_MOST,
+    NOTE_MOST,
+    REVERT,
+    REVISIONS,
+    STATUS,
+    TICKET_MOST,
+    ConfigurationCalls,
+    HeadError,
+    NotOriginError,
+    RefusedError,
+    read_position,
+)
+from ironmill.distribution.revision import (
+    Changes,
+    Entry,
+    FencedError,
+    Position,
+    Refusal,
+    StoreError,
+    check_changes,
+)
+from ironmill.net import revision_store
+from ironmill.net.control import Control
+from ironmill.net.revision_store import SqliteStore
+from ironmill.protocol.call import Answer, Call
+from ironmill.routes import Routes
+from ironmill.scheduler import Scheduler
+from ironmill_lab.fleet import play
+
+
+class Stub:
+    """An origin whose store is real and whose fleet is made up."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = SqliteStore(str(folder / "store"))
+        self.fails: Exception | None = None
+        self.told: dict[str, Any] = {}
+        self.pushed: list[tuple[float, float]] = []
+
+    def push(
+        self, changes: Changes, at: float, author: str, note: str, ticket: str, now: float,
+        expect: Position | None = None,
+    ) -> Position:
+        self.pushed.append((at, now))
+        if self.fails is not None:
+            raise self.fails
+        known = self.store.committed(ticket)
+        if known is not None:
+            return known
+        if expect is not None and expect != self.store.position:
+            raise HeadError(f"the newest revision is {self.store.position}, not {expect}")
+        check_changes(changes)
+        for key in changes:
+            if key.startswith("bad/"):
+                raise RefusedError(Refusal(key, "unknown key"))
+        return self.store.commit(changes, at, author, note, ticket)
+
+    def undo(self, number: int) -> Changes:
+        return self.store.undo(number)
+
+    def history(self, most: int) -> list[Entry]:
+        return self.store.history(most)
+
+    def status(self, now: float) -> dict[str, Any]:
+        head = str(self.store.position)
+        return {
+            "name": "c1", "role": "origin", "lineage": self.store.lineage, "held": head, "in_force": head,
+            "stale": False, "age_s": 0.0, "parent": "", "everywhere": True, "lowest": head, "zones": [],
+            "laggards": [], "more_laggards": 0, "entries": len(dict(self.store.entries())), "dropped": {},
+        } | self.told
+
+
+@pytest.fixture
+def stub(tmp_path: Path) -> Stub:
+    return Stub(tmp_path)
+
+
+def routes_of(stub: Stub, writes: bool = True) -> Routes:
+    routes = Routes()
+    ConfigurationCalls(stub, stub if writes else None, ["c1", "c9"], lambda: 50.0, lambda: 7.0).add_to(routes)
+    return routes
+
+
+def ask(routes: Routes, method: str, path: str, body: object = None, query: str = "") -> tuple[int, Any]:
+    data = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
+    answer = routes.answer(Call(method, path, query, data))
+    assert answer.body.endswith(b"\n")
+    return int(answer.status), json.loads(answer.body)
+
+
+def body(changes: dict[str, str | None] | None = None, **more: object) -> dict[str, object]:
+    return {"changes": {"a": "1"} if changes is None else changes, "author": "ann", "ticket": "t1"} | more
+
+
+def test_a_push_its_ticket_and_what_was_expected(stub: Stub) -> None:
+    routes = routes_of(stub)
+    assert ask(routes, "POST", REVISIONS, body()) == (201, {"position": "1.1"})
+    assert ask(routes, "POST", REVISIONS, body()) == (201, {"position": "1.1"})  # kept once
+    assert stub.pushed == [(50.0, 7.0)] * 2
+    status, told = ask(routes, "POST", REVISIONS, body({"b": "2"}, ticket="t2", expect="1.0"))
+    assert (status, told) == (412, {"reason": "the newest revision is 1.1, not 1.0"})
+    later = body({"ß": "straße", "a": None}, ticket="t2", expect="1.1")
+    assert ask(routes, "POST", REVISIONS, later)[0] == 201
+    assert dict(stub.store.entries()) == {"ß": "straße".encode()}
+    assert ask(routes, "GET", STATUS)[1]["held"] == "1.2"
+
+
+def test_what_is_refused_names_key_and_reason_and_keeps_nothing(stub: Stub) -> None:
+    routes = routes_of(stub)
+    told = ask(routes, "POST", REVISIONS, body({"a": "1", "bad/x": "1"}))
+    assert told == (409, {"key": "bad/x", "reason": "unknown key"})
+    for one, wrong in (
+        (body({}), "a revision has one change at least"), (body({"": "x"}), "a key has 1 to 200 bytes"),
+        (body({"a": "x" * 641}), "a: a value has 640 bytes at most"),
+        (body({"a\n": "x"}), "a key has printable characters only"),
+    ):
+        status, answer = ask(routes, "POST", REVISIONS, one)
+        assert status == 400
+        assert wrong in answer["reason"]
+    assert stub.store.position == (0, 0)
+
+
+@pytest.mark.parametrize(
+    ("path", "sent", "wrong"),
+    [
+        (REVISIONS, b"", "the body is not right"), (REVISIONS, b"[]", "the body is not right"),
+        (REVISIONS, b"\xff", "the body is not right"), (REVISIONS, b"[" * 60_000, "the body is not right"),
+        (REVISIONS, {"changes": {"a": "1"}, "author": "ann"}, "ticket"),
+        (REVISIONS, body({"a": 1}), "changes"), (REVISIONS, body(more=1), "more"),  # type: ignore[dict-item]
+        (REVISIONS, body(author=""), "author"), (REVISIONS, body(author="x" * (AUTHOR_MOST + 1)), "author"),
+        (REVISIONS, body(author="a\x1b[2J"), "author has printable characters only"),
+        (REVISIONS, body(note="x" * (NOTE_MOST + 1)), "note"),
+        (REVISIONS, body(note="a\nb"), "note has printable characters only"),
+        (REVISIONS, body(ticket=""), "ticket"), (REVISIONS, body(ticket="x" * (TICKET_MOST + 1)), "ticket"),
+        (REVISIONS, body(expect="1" * 41), "expect"), (REVISIONS, body(expect="now"), "'now' is no position"),
+        (REVISIONS, body(expect="1.\u0664"), "is no position"),
+        (REVERT, body(), "changes"), (REVERT, {"number": -1, "author": "a", "ticket": "t"}, "number"),
+        (REVERT, {"number": 1 << 62, "author": "a", "ticket": "t"}, "number"),
+        (REVERT, {"number": "1", "author": "a", "ticket": "t"}, "number"),
+    ],
+)
+def test_a_body_that_is_not_right_says_so(path: str, sent: object, wrong: str, stub: Stub) -> None:
+    status, told = ask(routes_of(stub), "POST", path, sent)
+    assert status == 400
+    assert wrong in told["reason"]
+    assert "\n" not in told["reason"]
+    assert stub.store.position == (0, 0)
+
+
+@given(st.binary(max_size=200))
+def test_no_body_breaks_the_calls(data: bytes) -> None:
+    class Nobody:
+        def status(self, now: float) -> dict[str, Any]:
+            return {}
+
+        def push(self, *args: Any) -> Position:
+            raise StoreError("none")
+
+        def undo(self, number: int) -> Changes:
+            return {}
+
+        def history(self, most: int) -> list[Entry]:
+            return []
+
+    routes = Routes()
+    ConfigurationCalls(Nobody(), Nobody(), []).add_to(routes)
+    for path in (REVISIONS, REVERT):
+        assert routes.answer(Call("POST", path, "", data)).status in (400, 503)
+    assert routes.answer(Call("GET", REVISIONS, data.decode("latin-1"))).status in (200, 400)
+
+
+def test_what_the_calls_let_pass_the_store_takes(stub: Stub) -> None:
+    assert (AUTHOR_MOST, NOTE_MOST, TICKET_MOST) == (
+        revision_store.AUTHOR_MOST, revision_store.NOTE_MOST, revision_store.TICKET_MOST
+    )
+    longest = body(author="ß" * AUTHOR_MOST, note="ß" * NOTE_MOST, ticket="ß" * TICKET_MOST)
+    assert ask(routes_of(stub), "POST", REVISIONS, longest)[0] == 201
+
+
+def test_who_is_no_origin_names_it(stub: Stub) -> None:
+    relay = routes_of(stub, writes=False)
+    reason = "this process is no origin; the origin is c1 or c9"
+    told = (503, {"reason": reason, "origins": ["c1", "c9"]})
+    assert ask(relay, "POST", REVISIONS, body()) == told
+    assert ask(relay, "POST", REVERT, {}) == told
+    assert ask(relay, "GET", REVISIONS) == told
+    assert ask(relay, "GET", STATUS)[0] == 200
+    routes = routes_of(stub)
+    for error in (NotOriginError("c1 is no origin any more"), FencedError("another process has opened")):
+        stub.fails = error
+        status, answer = ask(routes, "POST", REVISIONS, body())
+        assert (status, answer["reason"]) == (503, f"{error}; the origin is c1 or c9")
+    stub.fails = StoreError("no room")
+    assert ask(routes, "POST", REVISIONS, body()) == (503, {"reason": "no room"})
+    stub.store.close()
+    assert ask(routes, "GET", REVISIONS)[0] == 503
+    assert ask(routes, "POST", REVERT, {"number": 0, "author": "a", "ticket": "t"})[0] == 503
+
+
+def test_history_and_its_bounds(stub: Stub, monkeypatch: pytest.MonkeyPatch) -> None:
+    routes = routes_of(stub)
+    for at in range(30):
+        stub.store.commit({"a": b"%d" % at, "b": None}, float(at), "ann", "why", f"t{at}")
+    stub.store.commit({"raw": b"\xff\x00"}, 99.5, "bob", "", "raw")
+    status, told = ask(routes, "GET", REVISIONS)
+    assert (status, len(told["revisions"]), told["cut"]) == (200, 20, False)
+    assert told["revisions"][:2] == [
+        {"position": "1.31", "at": 99.5, "author": "bob", "note": "", "changes": {"raw": "\\xff\x00"}},
+        {"position": "1.30", "at": 29.0, "author": "ann", "note": "why", "changes": {"a": "29", "b": None}},
+    ]
+    assert len(ask(routes, "GET", REVISIONS, query="most=3&x=y")[1]["revisions"]) == 3
+    assert ask(routes, "GET", REVISIONS, query="most=0")[1]["revisions"] == []
+    for words in ("most=all", "most=-1", "most=1e3", "most=9999999", "most=\u0663"):
+        assert ask(routes, "GET", REVISIONS, query=words)[0] == 400
+    asked: list[int] = []
+    monkeypatch.setattr(stub, "history", lambda most: asked.append(most) or [])
+    ask(routes, "GET", REVISIONS, query="most=999999")
+    assert asked == [HISTORY_MOST]
+    monkeypatch.undo()
+    monkeypatch.setattr(configuration_calls, "HISTORY_BYTES", 10)
+    told = ask(routes, "GET", REVISIONS)[1]
+    assert (len(told["revisions"]), told["cut"]) == (2, True)
+
+
+def test_a_revert_is_a_revision_of_its_own_and_has_a_ticket(stub: Stub) -> None:
+    routes = routes_of(stub)
+    for at in range(4):
+        stub.store.commit({"a": b"%d" % at, f"k{at}": b""}, 1.0, "ann", "", f"t{at}")
+    revert = {"number": 2, "author": "bob", "note": "wrong", "ticket": "r"}
+    assert ask(routes, "POST", REVERT, revert) == (201, {"position": "1.5"})
+    assert ask(routes, "POST", REVERT, revert) == (201, {"position": "1.5"})
+    assert dict(stub.store.entries()) == {"a": b"1", "k0": b"", "k1": b""}
+    told = ask(routes, "POST", REVERT, revert | {"ticket": "other"})
+    assert told == (400, {"reason": "there is nothing to revert: all is as it was at 2"})
+    assert ask(routes, "POST", REVERT, revert | {"ticket": "x", "number": 1, "expect": "1.4"})[0] == 412
+    status, answer = ask(routes, "POST", REVERT, revert | {"ticket": "x", "number": 9})
+    assert (status, "there is no revision 9" in answer["reason"]) == (503, True)
+    entry = stub.store.history(1)[0]
+    assert (entry.author, entry.note, entry.position) == ("bob", "wrong", (1, 5))
+
+
+# The commands
+
+
+def test_changes_as_they_are_written(tmp_path: Path) -> None:
+    file = tmp_path / "more.json"
+    file.write_text('{"b": "2", "c": null}')
+    words = ["deny/subject/a=b=c", "shard/x-", "y=", "z-=-"]
+    assert config.read_changes(words, str(file)) == {
+        "b": "2", "c": None, "deny/subject/a": "b=c", "shard/x": None, "y": "", "z-": "-",
+    }
+    twice = "'b' is changed twice"
+    for words, wrong in ((["a"], "'a' is no change"), (["b=3"], twice), (["q-", "q=1"], "twice")):
+        with pytest.raises(ConfigError, match=wrong):
+            config.read_changes(words, str(file))
+    with pytest.raises(ConfigError, match="there is no change"):
+        config.read_changes([], None)
+    with pytest.raises(ConfigError, match="No such file"):
+        config.read_changes([], str(tmp_path / "none"))
+    for text in ("", "[]", '{"a": 1}'):
+        file.write_text(text)
+        with pytest.raises(ConfigError, match="is no JSON object of keys and texts"):
+            config.read_changes([], str(file))
+
+
+ZONE = {"zone": "z", "proxies": 3, "lowest": "2.9", "refused": 0, "unreachable": 0}
+
+
+@pytest.mark.parametrize(
+    ("told", "there"),
+    [
+        ({"everywhere": True, "held": "2.9"}, True), ({"everywhere": True, "held": "2.8"}, False),
+        ({"zones": [ZONE]}, True), ({"zones": [ZONE], "settled": False}, False), ({"zones": []}, False),
+        ({"zones": [ZONE, ZONE | {"lowest": "2.8"}]}, False), ({"zones": [ZONE | {"lowest": "1.99"}]}, False),
+        ({"zones": [ZONE | {"lowest": "3.9"}]}, True), ({"zones": [ZONE | {"refused": 1}]}, False),
+        ({"zones": [ZONE | {"unreachable": 1}]}, False),
+        ({"zones": [ZONE], "laggards": [{"why": "behind"}]}, True),  # behind the head, not behind this one
+        ({"zones": [ZONE], "laggards": [{"why": "unreachable"}]}, False),  # a relay
+    ],
+)
+def test_when_a_position_is_everywhere(told: dict[str, Any], there: bool) -> None:
+    usual = {"everywhere": False, "held": "2.12", "laggards": []}
+    assert config.in_force_everywhere(usual | told, Position(2, 9)) is there
+
+
+@given(st.text(alphabet="0123456789.-+ x\u0663", max_size=45))
+def test_positions_are_read_or_refused(text: str) -> None:
+    try:
+        position = read_position(text)
+    except ValueError as error:
+        assert "is no position" in str(error)
+    else:
+        assert tuple(map(int, text.split("."))) == position
+
+
+class Town:
+    """A stub behind a staff's address, and commands as processes."""
+
+    def __init__(self, stub: Stub, writes: bool = True) -> None:
+        self.scheduler = Scheduler()
+        self.lose = 0  # answers that get lost
+        self.calls: list[Call] = []
+        routes = routes_of(stub, writes)
+        answer = routes.answer
+
+        def lossy(call: Call) -> Answer:
+            self.calls.append(call)
+            told = answer(call)
+            if self.lose:
+                self.lose -= 1
+                raise ConnectionResetError
+            return told
+
+        routes.answer = lossy  # type: ignore[method-assign]
+        self.control = Control(self.scheduler, ("127.0.0.1", 0), routes)
+        self.control.start()
+
+    def run(self, *words: str, meanwhile: Callable[[], object] | None = None) -> tuple[int, str, str]:
+        """The command's status, and what it wrote."""
+        host, port = self.control.address
+        words = tuple(f"{host}:{port}" if word == "CONTROL" else word for word in words)
+        done: list[subprocess.Popen[str]] = []
+
+        def story() -> None:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", "ironmill", "config", *words], text=True,
+                stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+            )
+            done.append(popen)
+            if meanwhile is not None:
+                meanwhile()
+            while popen.poll() is None:
+                self.scheduler.sleep(0.01)
+
+        play(self.scheduler, story, 60.0)
+        out, err = done[0].communicate()
+        return done[0].returncode, out, err
+
+
+def test_the_commands_of_a_day(stub: Stub) -> None:
+    town = Town(stub)
+    more = ["--author=ann", "--note=a day", "--wait"]
+    told = town.run("push", "CONTROL", "shard/a=r1", "log/level=debug", *more)
+    assert told == (0, "1.1 is kept\n1.1 is in force everywhere\n", "")
+    assert town.run("push", "CONTROL", "shard/a-", "--author=bob", "--expect=1.0")[::2] == (
+        2, "ironmill: not taken: the newest revision is 1.1, not 1.0\n"
+    )
+    assert town.run("push", "CONTROL", "bad/x=1")[::2] == (2, "ironmill: refused: bad/x: unknown key\n")
+    assert town.run("push", "CONTROL", "shard/a-", "--author=bob", "--expect=1.1")[:2] == (0, "1.2 is kept\n")
+    status, out, _ = town.run("history", "CONTROL")
+    lines = out.splitlines()
+    assert status == 0
+    assert lines[0].startswith("1.2  1970-01-01T00:00:50Z  bob")
+    assert lines[1:] == [
+        "  shard/a-", "1.1  1970-01-01T00:00:50Z  ann  a day", "  log/level=debug", "  shard/a=r1"
+    ]
+    assert town.run("history", "CONTROL", "--most=1")[1].count("\n") == 2
+    reverted = town.run("revert", "CONTROL", "1.1", "--wait")
+    assert reverted == (0, "1.3 is kept\n1.3 is in force everywhere\n", "")
+    assert dict(stub.store.entries()) == {"shard/a": b"r1", "log/level": b"debug"}
+    assert town.run("wait", "CONTROL", "1.3")[0] == 0
+    assert town.run("status", "CONTROL")[1] == "c1 is origin, holds 1.3, in force 1.3, heard of the origin " \
+        "0.0s ago, 2 keys\n"
+
+
+def test_a_lost_answer_is_asked_for_again_and_done_once(stub: Stub) -> None:
+    town = Town(stub)
+    town.lose = 2
+    assert town.run("push", "CONTROL", "a=1")[:2] == (0, "1.1 is kept\n")
+    assert len({call.body for call in town.calls}) == 1
+    assert len(town.calls) == 3
+    town.lose = 2
+    assert town.run("revert", "CONTROL", "0")[:2] == (0, "1.2 is kept\n")
+    town.lose = 99
+    status, out, err = town.run("push", "CONTROL", "a=2")
+    assert (status, out) == (2, "")
+    assert "tried 5 times, and it is not known whether it was kept" in err
+    assert stub.store.position == (1, 3)
+
+
+def test_a_wait_that_ends_without_all_names_those_that_are_not(stub: Stub) -> None:
+    town = Town(stub)
+    stub.store.commit({"a": b"1"}, 1.0, "", "", "t")
+    zones = [ZONE | {"lowest": "1.1"}, ZONE | {"zone": "y", "lowest": "1.0", "refused": 1, "unreachable": 1}]
+    laggards = [
+        {"name": "p1", "zone": "y", "in_force": "1.0", "why": "refused", "key": "a", "reason": "un\x1bknown"},
+        {"name": "p2", "zone": "y", "in_force": "1.0", "why": "unreachable", "key": "", "reason": ""},
+        {"name": "p3", "zone": "z", "in_force": "0.0", "why": "behind", "key": "", "reason": ""},
+    ]
+    stub.told = {"everywhere": False, "lowest": "1.0", "zones": zones}
+    stub.told |= {"laggards": laggards, "more_laggards": 4}
+    expected = (
+        "1.1 is not in force everywhere after 0.5s; the lowest is 1.0\n"
+        "p1 in zone y: refused, in force 1.0: a: un\\x1bknown\n"
+        "p2 in zone y: unreachable, in force 1.0\np3 in zone z: behind, in force 0.0\nand 4 more\n"
+    )
+    assert town.run("wait", "CONTROL", "1.1", "--within=500ms") == (1, expected, "")
+    status, out, _ = town.run("status", "CONTROL")
+    assert status == 0
+    assert "1.1 is not everywhere in force; the lowest is 1.0\n" in out
+    assert "y     3        1.0     1        1\n" in out
+    # It comes into force while the command waits.
+    stub.told |= {"laggards": [], "zones": [ZONE]}
+
+    def meanwhile() -> None:
+        while not town.calls:
+            town.scheduler.sleep(0.01)
+        town.scheduler.sleep(0.3)
+        stub.told |= {"zones": [ZONE | {"lowest": "1.1"}]}
+
+    stub.told["zones"] = [ZONE | {"lowest": "1.0"}]
+    town.calls.clear()
+    told = town.run("wait", "CONTROL", "1.1", "--within=30s", meanwhile=meanwhile)
+    assert told == (0, "1.1 is in force everywhere\n", "")
+    # Another store has taken over, and this revision is not in it.
+    stub.told = {"held": "5.1"}
+    assert town.run("wait", "CONTROL", "1.2")[:2] == (1, "1.2 is not in the history of c1, which is at 5.1\n")
+
+
+def test_who_cannot_be_asked_is_status_2(stub: Stub) -> None:
+    town = Town(stub, writes=False)
+    stub.told = {"role": "relay"}
+    reason = "ironmill: not taken: this process is no origin; the origin is c1 or c9\n"
+    assert town.run("push", "CONTROL", "a=1") == (2, "", reason)
+    assert town.run("history", "CONTROL")[0] == 2
+    assert town.run("wait", "CONTROL", "1.1")[::2] == (
+        2, "ironmill: c1 is a relay; only the origin knows of all proxies\n"
+    )
+    for words in (
+        ("wait", "CONTROL", "now"), ("wait", "CONTROL", "1.1", "--within=soon"), ("push", "CONTROL"),
+        ("push", "nowhere", "a=b"), ("revert", "CONTROL", "x"), ("history", "CONTROL", "--most=all"),
+    ):
+        status, out, err = town.run(*words)
+        assert (status, out, len(err.splitlines())) == (2, "", 1), words
+    town.control.close()
+    status, out, err = town.run("push", "CONTROL", "a=b")
+    assert (status, out) == (2, "")
+    assert "tried 5 times, and nothing was kept" in err
+    began = time.monotonic()
+    assert town.run("wait", "CONTROL", "1.1", "--within=300ms")[0] == 2
+    assert town.run("status", "CONTROL")[0] == 2
+    assert time.monotonic() - began < 30.0
+
+
+def test_a_process_without_distribution_and_one_that_answers_otherwise(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scheduler = Scheduler()
+    routes = Routes()
+    routes.add("/other", {})
+    town = Town.__new__(Town)
+    town.scheduler = scheduler
+    town.control = Control(scheduler, ("127.0.0.1", 0), routes)
+    town.control.start()
+    assert "has no distribution in its settings" in town.run("status", "CONTROL")[2]
+    routes.add(STATUS, {"GET": lambda _: Answer(HTTPStatus.OK, b"<html>")})
+    assert "answers something else" in town.run("status", "CONTROL")[2]
+    fails = Answer(HTTPStatus.BAD_GATEWAY, msgspec.json.encode({"reason": "x"}))
+    routes.add(STATUS, {"GET": lambda _: fails})
+    assert "answers 502: x" in town.run("status", "CONTROL")[2]
+    town.control.close()
