--- a/ironmill/cli.py
+++ b/ironmill/cli.py
@@ -11,6 +11,7 @@
   ironmill token inspect TOKEN
   ironmill caller explain TOKEN --settings=FILE [--config=FILE]
   ironmill members CONTROL [--watch]
+  ironmill control NAME --settings=FILE --staff=HOST:PORT
   ironmill config push CONTROL [CHANGE...] [--file=JSON] [--author=NAME] [--note=TEXT]
                        [--expect=POSITION] [--wait] [--within=SPAN]
   ironmill config status CONTROL
@@ -36,6 +37,7 @@
   --kid=KID         The key that signs, instead of the ring's signing one.
   --watch           Show the members again each time they change.
   --file=JSON       More changes: an object of keys, and of texts or null.
+  --staff=HOST:PORT  Where staff call this control machine.
   --author=NAME     Who changes it; without it, who runs the command.
   --note=TEXT       Why.
   --expect=POSITION  Change nothing unless this is the newest revision.
@@ -96,6 +98,8 @@
         return _keys_or_token(words)
     if words["members"]:
         return _members(words)
+    if words["control"]:
+        return _control(words["NAME"], words["--settings"], words["--staff"])
     if words["config"]:
         return _config(words)
     no_proxy = not words["--config"] and not os.environ.get("PROXY_CONFIG")
@@ -191,6 +195,20 @@
     return 0
 
 
+def _control(name: str, settings: str, staff: str) -> int:
+    from ironmill.config import address
+    from ironmill.operator import read_operator
+
+    try:
+        operator, at = read_operator(settings, ()), address(staff, "--staff")
+    except MalformedError as error:
+        print(f"ironmill: {error}", file=sys.stderr)
+        return 2
+    from ironmill.net.control_machine import serve as serve_control
+
+    return serve_control(name, operator, at)
+
+
 def _config(words: Mapping[str, Any]) -> int:
     from ironmill.commands import config  # here, for a proxy needs none of it
     from ironmill.commands.keys import CommandError
--- a/ironmill/configuration_calls.py
+++ b/ironmill/configuration_calls.py
@@ -20,8 +20,10 @@
     Changes,
     Entry,
     FencedError,
+    HeadError,
+    NotOriginError,
     Position,
-    Refusal,
+    RefusedError,
     RevisionError,
     StoreError,
 )
@@ -40,22 +42,6 @@
 HISTORY_BYTES = 1 << 20  # of their keys and values in one answer; the newest is there however large it is
 
 
-class RefusedError(Exception):
-    """A proxy could not put the changes into force; nothing was kept."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(f"{refusal.key}: {refusal.reason}")
-        self.refusal = refusal
-
-
-class HeadError(Exception):
-    """The newest revision is not the one that was expected; the text names it."""
-
-
-class NotOriginError(Exception):
-    """This process does not hold the order of changes any more; the text says what it is."""
-
-
 class Reader(Protocol):
     """Whoever takes part in distribution."""
 
--- a/ironmill/distribution/node.py
+++ b/ironmill/distribution/node.py
@@ -104,6 +104,10 @@
         self.link.now = now
         return self.link.flush()
 
+    def status(self, now: float) -> dict[str, Any]:
+        """What staff are shown."""
+        raise NotImplementedError
+
     def _tick(self) -> None:
         raise NotImplementedError
 
--- a/ironmill/net/distribution.py
+++ b/ironmill/net/distribution.py
@@ -92,6 +92,18 @@
         )
         self._datagrams.start(self.node, TICK)
 
+    @property
+    def origins(self) -> list[str]:
+        """The control machines that may hold the order of changes, by name."""
+        return [place.name for place, origin in self._controls if origin]
+
+    def health(self) -> dict[str, Any]:
+        """What belongs into the answer on health: what is in force, and whether it may be old."""
+        assert self.node is not None
+        told = self.node.status(time.monotonic())
+        keys = ("in_force", "stale", "age_s", "refused", "catching_up")
+        return {"configuration": {key: told[key] for key in keys}}
+
     def flush(self) -> None:
         """Send at once what a call has made to be sent."""
         if self.node is not None and not self._datagrams.closed:
--- a/ironmill/net/proxy.py
+++ b/ironmill/net/proxy.py
@@ -33,8 +33,10 @@
     from ironmill.callers import Callers
     from ironmill.identity.keyring import KeyRing
     from ironmill.net.control import Control
+    from ironmill.net.distribution import Distribution
     from ironmill.net.membership import Membership
     from ironmill.operator import Operator
+    from ironmill.settings.model import DistributionSettings
 
 # Clients wait so long at the most for the first answer of discovery, seconds. Guards the rule on draining
 # servers: what the agent holds counts as told from the process's start, 0.25 s before. Of 132 proxies
@@ -96,6 +98,9 @@
             self.membership = Membership(
                 self.scheduler, config.name, operator.settings.membership, operator.member_keys
             )
+        self.distribution: Distribution | None = None
+        if operator is not None and operator.settings.distribution is not None:
+            self._take_part(operator, operator.settings.distribution)
         self.control: Control | None = None
         if config.control is not None:
             from ironmill.net.control import Control
@@ -104,6 +109,12 @@
             staff = Staff(self.gateway)
             if self.membership is not None:
                 staff.add("/admin/members", {"GET": self.membership.shown})
+            if self.distribution is not None:
+                from ironmill.configuration_calls import ConfigurationCalls
+
+                assert self.distribution.node is not None
+                ConfigurationCalls(self.distribution.node, None, self.distribution.origins).add_to(staff)
+                staff.more_of_health = self.distribution.health
             self.control = Control(self.scheduler, config.control, staff)
         self.tls_listener: Listener | None = None
         if operator is not None and operator.settings.tls is not None and operator.tls is not None:
@@ -128,6 +139,8 @@
             log.info("staff call at %s:%d", *self.control.address)
         if self.membership is not None:
             self.membership.start()
+        if self.distribution is not None:
+            self.distribution.start()
         self.discovery.start()
         self.scheduler.call_later(self._first_answer_wait(), self._open)
         shutdown = Shutdown(self.scheduler, self.gateway, self, self._config, self.admission)
@@ -169,6 +182,8 @@
         """Take no more connections, and be no member any more."""
         if self.membership is not None:
             self.membership.leave()
+        if self.distribution is not None:
+            self.distribution.leave()
         self.listener.close()
         if self.tls_listener is not None:
             self.tls_listener.close()
@@ -193,6 +208,25 @@
         if self.callers is not None:
             self.callers.replace(self.callers.gate.identity, ring)
 
+    def _take_part(self, operator: Operator, settings: DistributionSettings) -> None:
+        """Take configuration from the control machines from now on."""
+        from ironmill.configuration import Configuration
+        from ironmill.net.distribution import Distribution
+
+        self.distribution = Distribution(
+            self.scheduler, self._config.name, settings, operator.distribution_keys
+        )
+        self.configuration = Configuration(self.callers)
+        self.distribution.leaf(self.configuration)
+
+    def _take_distribution(self, operator: Operator) -> None:
+        """Keys are replaced at once; where configuration comes from takes a restart."""
+        settings, mine = operator.settings.distribution, self.distribution
+        if (settings is None) is not (mine is None) or (mine is not None and settings != mine.settings):
+            log.warning("reload: takes a restart: distribution")
+        if mine is not None and operator.distribution_keys:
+            mine.codec.keys = operator.distribution_keys
+
     def _take_membership(self, operator: Operator) -> None:
         """Keys are replaced at once; where and with whom this proxy is a member takes a restart."""
         settings, mine = operator.settings.membership, self.membership
@@ -217,6 +251,7 @@
             operator = replace(operator, tls=old.tls)  # the same files: sessions go on being resumed
         self._operator = operator
         self._take_membership(operator)
+        self._take_distribution(operator)
         if old.settings.log != operator.settings.log:
             logs.set_up(self._config.name, operator.settings.log)
         identity = operator.settings.identity
--- a/ironmill/staff.py
+++ b/ironmill/staff.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -33,6 +34,7 @@
         super().__init__()
         self._served = served
         self._lifecycle = served.lifecycle
+        self.more_of_health: Callable[[], dict[str, Any]] | None = None  # of what is on by setting
         self.add("/admin/health", {"GET": self._health})
         self.add("/admin/stats", {"GET": self._stats})
         self.add("/admin/quiesce", {"POST": self._quiesce})
@@ -40,7 +42,8 @@
 
     def _health(self, _: Call) -> Answer:
         ready = self._lifecycle.policy.ready
-        return self._told(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE)
+        more = {} if self.more_of_health is None else self.more_of_health()
+        return self._told(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE, **more)
 
     def _stats(self, _: Call) -> Answer:
         figures = self._served.figures
--- a/ironmill_lab/faults/town.py
+++ b/ironmill_lab/faults/town.py
@@ -88,6 +88,12 @@
 
     # Processes
 
+    def proxy(self, name: str) -> ProxyProcess:
+        """One that serves clients."""
+        process = self.processes[name]
+        assert isinstance(process, ProxyProcess)
+        return process
+
     def start(self, *names: str) -> None:
         """Start these, or all."""
         for name in names or self.names:
--- a/ironmill_lab/measures/membership.py
+++ b/ironmill_lab/measures/membership.py
@@ -242,8 +242,8 @@
     for on in (True, False, True, False):
         with tempfile.TemporaryDirectory() as name, Town(Path(name), count, membership=on) as town:
             town.start()
-            for process in town.processes.values():
-                process.wait_ready()
+            for one in town.names:
+                town.proxy(one).wait_ready()
             if on:
                 town.until(lambda: town.agree(town.names))
             took[on] += _setups(list(town.clients.values()), setups // 2)
--- a/tests/test_configuration_calls.py
+++ b/tests/test_configuration_calls.py
@@ -28,17 +28,17 @@
     STATUS,
     TICKET_MOST,
     ConfigurationCalls,
-    HeadError,
-    NotOriginError,
-    RefusedError,
     read_position,
 )
 from ironmill.distribution.revision import (
     Changes,
     Entry,
     FencedError,
+    HeadError,
+    NotOriginError,
     Position,
     Refusal,
+    RefusedError,
     StoreError,
     check_changes,
 )
--- /dev/null
+++ b/tests/test_distribution_processes.py
@@ -0,0 +1,222 @@
+"""Eight proxies and three control machines as real processes, with faults between and under them.
+
+Waits end a test; no time is judged. What is judged is read from logs: order, wholeness, staleness, clients.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from ironmill.membership.wire import spelled
+from ironmill_lab.faults.checker import Seen
+from ironmill_lab.faults.control_town import ORIGIN, ControlTown, Form
+from ironmill_lab.faults.schedule import Fault, both_ways
+from ironmill_lab.measures.membership import Load
+
+
+@pytest.fixture
+def town(tmp_path: Path) -> Iterator[ControlTown]:
+    with ControlTown(tmp_path) as it:
+        it.start()
+        it.until(lambda: bool(it.status(ORIGIN).get("settled")) and _counted(it) == len(it.proxies))
+        yield it
+
+
+def _counted(town: ControlTown) -> int:
+    return sum(zone["proxies"] for zone in town.status(ORIGIN).get("zones", []))
+
+
+def _everywhere(town: ControlTown, position: Form) -> bool:
+    status = town.status(ORIGIN)
+    return bool(status.get("everywhere")) and status["held"] == f"{position[0]}.{position[1]}"
+
+
+def _check_order(seen: list[Seen], proxies: list[str]) -> None:
+    """Never an older one after a newer one within a process, and one state for each position."""
+    states: dict[Form, set[str]] = {}
+    last: dict[str, Form] = {}
+    for one in seen:
+        if one.what == "distribution":
+            last.pop(one.name, None)  # a process that has just begun
+        if one.what != "in-force":
+            continue
+        at = int(one.fields["epoch"]), int(one.fields["number"])
+        states.setdefault(at, set()).add(one.fields["digest"])
+        if one.name in proxies:
+            assert at >= last.get(one.name, (0, 0)), one
+            last[one.name] = at
+    assert states
+    assert all(len(digests) == 1 for digests in states.values())
+
+
+def test_faults_between_and_under_them_and_clients_lose_nothing(town: ControlTown) -> None:
+    proxies = town.proxies
+    load = Load([town.clients[name] for name in proxies[:3]])  # which stay up
+
+    first = town.push({"shard/a": "s-1", "shard/b": "s-2"})
+    town.until(lambda: _everywhere(town, first))
+    assert town.all_at(first)
+    assert all(town.status(name)["entries"] == 2 for name in proxies)
+
+    # A tenth of all datagrams is lost, some come twice, late or spoilt, and a relay is killed meanwhile.
+    town.play([
+        Fault("loss", 0.0, 1e9, share=0.1), Fault("duplicate", 0.0, 1e9, share=0.1, most=0.3),
+        Fault("corrupt", 0.0, 1e9, share=0.03), Fault("delay", 0.0, 1e9, share=0.2, most=0.1),
+    ])
+    for at in range(10):
+        latest = town.push({f"shard/{at}": f"s-{at}", "shard/a": f"s-{at}"})
+        if at == 4:
+            town.kill("c01")
+    town.until(lambda: town.all_at(latest))
+    status = town.status(ORIGIN)
+    assert not status["everywhere"]  # who was behind the relay that is away is not known from there
+    assert "c01" in {one["name"] for one in status["laggards"]}
+    town.start("c01")
+    town.until(lambda: _everywhere(town, latest))
+    town.play([])
+
+    # A proxy is killed in the midst of a revision of many parts, and another one pauses.
+    town.pause("p05")
+    many = {f"shard/many-{at:04d}": "x" * 60 for at in range(400)}
+    whole = town.push(many)
+    town.kill("p06")
+    town.until(lambda: town.all_at(whole, [n for n in proxies if n not in ("p05", "p06")]))
+    town.until(lambda: {one["name"]: one["why"] for one in town.status(ORIGIN)["laggards"]} == {
+        "p05": "unreachable", "p06": "unreachable",
+    })
+    resumed = town.resume("p05")
+    town.start("p06")
+    town.until(lambda: _everywhere(town, whole))
+    assert [one for one in town.seen() if one.name == "p05" and one.what == "stale" and one.at >= resumed]
+
+    # Cut off from all control machines, both ways, then only one way: stale, and goes on with what it has.
+    machines = tuple(town.machines)
+    for faults in (
+        both_ways(0.0, 1e9, ("p07",), machines), [Fault("cut", 0.0, 1e9, machines, ("p07",))],
+        [Fault("cut", 0.0, 1e9, ("p07",), machines)],
+    ):
+        began = town.play(faults)
+        later = town.push({"shard/cut": str(began)})
+        town.until(lambda since=began: bool([  # type: ignore[misc]
+            one for one in town.seen() if one.name == "p07" and one.what == "stale" and one.at >= since
+        ]))
+        health = town.call("p07", "GET", "/admin/health")[1]
+        assert health["configuration"]["stale"] is True
+        assert health["configuration"]["in_force"] != f"{later[0]}.{later[1]}"
+        assert town.all_at(later, proxies[:-1])
+        town.play([])
+        town.until(lambda at=later: _everywhere(town, at))  # type: ignore[misc]
+
+    # The origin is killed and started again: another epoch, the same history.
+    town.kill(ORIGIN)
+    town.start(ORIGIN)
+    town.until(lambda: bool(town.status(ORIGIN)))
+    after = town.push({"shard/after": "s-9"})
+    assert after[0] == later[0] + 1
+    assert after[1] == later[1] + 1
+    town.until(lambda: _everywhere(town, after))
+
+    lost, lines = load.stop()
+    assert lost == 0
+    assert lines > 100
+    _check_order(town.seen(), proxies)
+
+
+def test_a_slow_relay_and_a_proxy_that_ends_in_an_orderly_way(town: ControlTown) -> None:
+    town.pause("c02")
+    latest = town.push({"shard/a": "s-1"})
+    town.until(lambda: town.all_at(latest))  # its children have found another parent
+    town.resume("c02")
+    town.until(lambda: _everywhere(town, latest))
+    assert town.end("p07") == 0
+    town.until(lambda: _counted(town) == len(town.proxies) - 1)
+    last = town.push({"shard/a": "s-2"})
+    town.until(lambda: _everywhere(town, last))  # it has told that it goes: nobody waits for it
+    assert not [one for one in town.status(ORIGIN)["laggards"] if one["name"] == "p07"]
+    _check_order(town.seen(), town.proxies)
+
+
+def test_keys_replaced_and_a_stranger(town: ControlTown) -> None:
+    keys = town.folder / "members.keys"
+    keys.write_text("0f" * 32 + "\n" + "a1" * 32 + "\n")
+    town.processes["p00"].popen.send_signal(signal.SIGHUP)
+    latest = town.push({"shard/a": "s-1"})
+    town.until(lambda: _everywhere(town, latest))
+    keys.write_text("b2" * 32 + "\n")
+    town.kill("p01")
+    town.start("p01")
+    relays = [name for name in town.machines if name != ORIGIN]
+    town.until(lambda: all(town.status(name)["dropped"].get("forged") for name in relays))
+    town.until(lambda: town.call("p01", "GET", "/admin/health")[0] == 200)
+    told = town.call("p01", "GET", "/admin/health")[1]["configuration"]
+    # It serves clients, and says that it knows nothing.
+    assert (told["stale"], told["in_force"]) == (True, "0.0")
+
+
+def _run(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "ironmill", *words], capture_output=True, text=True, timeout=60.0, check=False
+    )
+
+
+def test_what_staff_see_and_do(town: ControlTown) -> None:
+    at = spelled(town.controls[ORIGIN])
+    pushed = _run("config", "push", at, "shard/a=s-1", "log/level=debug", "--author=ann", "--wait")
+    assert (pushed.returncode, pushed.stderr) == (0, "")
+    refused = _run("config", "push", at, "no/such=1", "--author=ann")
+    assert refused.returncode == 2
+    assert "no/such" in refused.stderr
+    # One that passes at the origin and not at proxies: they name it, and keep what they had.
+    words = ["deny/subject/mallory=ticket 7", "--author=ann", "--wait", "--within=3s"]
+    shown = _run("config", "push", at, *words)
+    assert shown.returncode == 1
+    assert "p03" in shown.stdout + shown.stderr
+    assert "deny/subject/mallory" in shown.stdout + shown.stderr
+    assert {town.status(name)["in_force"] for name in town.proxies} == {"1.1"}
+    back = _run("config", "revert", at, "1", "--author=ann", "--wait")
+    assert (back.returncode, back.stderr) == (0, "")
+    assert {town.status(name)["in_force"] for name in town.proxies} == {"1.3"}
+    assert "c01" not in _run("config", "status", at).stderr
+    history = _run("config", "history", at)
+    assert history.returncode == 0
+    assert "ann" in history.stdout
+    elsewhere = _run("config", "push", spelled(town.controls["c01"]), "shard/a=1", "--author=ann")
+    assert elsewhere.returncode == 2
+    assert ORIGIN in elsewhere.stderr
+
+
+def test_without_settings_nothing_of_it_is_imported(tmp_path: Path) -> None:
+    story = (
+        "import sys; import ironmill.cli, ironmill.net.proxy; "
+        "print([name for name in sys.modules if 'distribution' in name or 'sqlite' in name or "
+        "'configuration' in name or name.startswith('ironmill.membership')])"
+    )
+    found = subprocess.run([sys.executable, "-c", story], capture_output=True, text=True, check=True)
+    assert found.stdout.strip() == "[]"
+
+
+def test_a_control_machine_that_cannot_begin_says_why_in_one_line(tmp_path: Path) -> None:
+    (tmp_path / "members.keys").write_text("0f" * 32 + "\n")
+    (tmp_path / "store").write_text("something else" * 100)
+    settings = tmp_path / "c00.xml"
+    text = (
+        '<ironmill xmlns="urn:ironmill:settings:1"><distribution cluster="town" listen="127.0.0.1:{port}" '
+        'keys="members.keys" role="{role}"{store}><control name="c00" address="127.0.0.1:9" origin="true"/>'
+        "</distribution></ironmill>"
+    )
+    for role, store, wrong in (
+        ("origin", ' store="store"', "file is not a database"),
+        ("subscriber", "", "no settings of a control machine"),
+    ):
+        settings.write_text(text.format(port=40000 + os.getpid() % 20000, role=role, store=store))
+        ended = _run("control", "c00", f"--settings={settings}", "--staff=127.0.0.1:0")
+        assert ended.returncode == 2
+        assert len(ended.stderr.splitlines()) == 1
+        assert wrong in ended.stderr
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -125,7 +125,7 @@
 def test_without_membership_nothing_of_it_is_imported_or_listens(tmp_path: Path) -> None:
     with Town(tmp_path, 1, membership=False) as town:
         town.start()
-        town.processes["m00"].wait_ready()
+        town.proxy("m00").wait_ready()
         assert town.ask("m00") == {} or town.ask("m00") is None
         shown = run("members", spelled(town.controls["m00"]))
         assert "no membership" in shown.stderr
