Configuration: what distributed keys mean to a proxy; patterns of subjects match without backtracking

Cause: a caller has to be denied, and the log be made louder, everywhere within seconds and without a reload; and a pattern that now comes from afar must not be able to stop a fleet. Change: configuration.Configuration is a proxy's Consumer: deny/subject/PATTERN, deny/fingerprint/HEX64, log/level and shard/NAME, of which the last is looked up and never copied; check_form is what the origin can say of them. Identity carries the distributed denials beside the settings' own, so a request keeps what was in force when it began, SIGHUP and another ring keep them, and what stands of those newly denied is moved as after a reload. A level holds over a reload until its key is gone. Patterns take the first place where the text between two stars is found: with the expression of before, the test of 90 stars had not ended after 40 s.

--- a/ironmill/callers.py
+++ b/ironmill/callers.py
@@ -11,11 +11,12 @@
 import math
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from ironmill.identity.gate import Admitted, Gate, Postponed, Refused, Verdict
 from ironmill.identity.keyring import KeyRing
-from ironmill.identity.rules import Identity
+from ironmill.identity.rules import NOBODY, Denials, Identity
 from ironmill.identity.tokens import Refusal
 from ironmill.identity.usage import Usage
 from ironmill.logs import EventLog
@@ -108,6 +109,13 @@
                 return NEVER
 
 
+def _denied(denials: Denials, admitted: Admitted) -> bool:
+    if admitted.certificate is not None:
+        return admitted.certificate.fingerprint in denials.fingerprints
+    subject = None if admitted.token is None else admitted.token.claims.get("sub")
+    return isinstance(subject, str) and denials.deny_subject(subject)
+
+
 class Callers:
     """Who calls, and who stands."""
 
@@ -123,6 +131,7 @@
         self._serial = itertools.count()
         self._ends: list[Timer] = []  # of the ring's keys
         self._logged_at, self._logged = 0.0, 0
+        self._distributed = NOBODY
         self.gate = Gate(identity, ring, clock())
         self._watch_ends()
         timers.call_later(LOOK, self._look)
@@ -179,11 +188,26 @@
     # From the operators
 
     def replace(self, identity: Identity, ring: KeyRing) -> None:
-        """Other settings and another ring from now on, and a look at what stands."""
-        self.gate.replace(identity, ring, self._clock())
+        """Other settings and another ring from now on, and a look at what stands.
+
+        Who is denied by distributed configuration still is, whatever the settings say.
+        """
+        self.gate.replace(replace(identity, distributed=self._distributed), ring, self._clock())
         self._watch_ends()
         self.revise()
 
+    def deny(self, denials: Denials) -> None:
+        """These are denied from now on besides those whom the settings name, and no others.
+
+        What stands of those who were not denied before is moved as after a change of the settings. Only they
+        are looked for, for this comes often, and all that stands is looked through.
+        """
+        fresh, self._distributed = denials - self._distributed, denials
+        gate = self.gate
+        gate.replace(replace(gate.identity, distributed=denials), gate.ring, self._clock())
+        if fresh:
+            self._send_away([driver for driver, it in self._standing.items() if _denied(fresh, it)])
+
     def revise(self) -> None:
         """Move what would not be admitted any more, if the settings say so."""
         now = self._clock()
--- a/ironmill/identity/gate.py
+++ b/ironmill/identity/gate.py
@@ -173,7 +173,8 @@
     def _admit_certificate(self, certificate: Certificate, now: float, identity: Identity) -> Admitted:
         """All that is asked each time."""
         skew = identity.skew
-        if certificate.fingerprint in identity.denied_certificates:
+        fingerprint = certificate.fingerprint
+        if fingerprint in identity.denied_certificates or fingerprint in identity.distributed.fingerprints:
             raise TokenError(Refusal.DENIED)
         if now >= certificate.expires + skew:
             raise TokenError(Refusal.EXPIRED)
--- a/ironmill/identity/rules.py
+++ b/ironmill/identity/rules.py
@@ -45,6 +45,33 @@
     names: tuple[str, ...] = ()  # patterns of certificates' names, as dns:NAME, uri:URI or email:ADDRESS
 
 
+@dataclass(frozen=True, slots=True)
+class Denials:
+    """Who is denied besides those whom the settings name. Many whole subjects cost as much as one."""
+
+    subjects: frozenset[str] = frozenset()
+    patterns: tuple[str, ...] = ()  # of subjects
+    fingerprints: frozenset[str] = frozenset()
+
+    def deny_subject(self, subject: str) -> bool:
+        """True if the subject is denied."""
+        return subject in self.subjects or any(fits(pattern, subject) for pattern in self.patterns)
+
+    def __sub__(self, other: Denials) -> Denials:
+        """Those that the other one does not have."""
+        return Denials(
+            self.subjects - other.subjects,
+            tuple(pattern for pattern in self.patterns if pattern not in other.patterns),
+            self.fingerprints - other.fingerprints,
+        )
+
+    def __bool__(self) -> bool:
+        return bool(self.subjects or self.patterns or self.fingerprints)
+
+
+NOBODY = Denials()
+
+
 @dataclass(frozen=True, slots=True)
 class Identity:
     """The settings of who calls, as one immutable value. Times are in seconds."""
@@ -58,6 +85,7 @@
     move_within: float | None = None  # None: what stands is kept when its credential ends
     cache: int = 8192
     suspect_checks: float = 50.0  # a second
+    distributed: Denials = NOBODY  # which no settings file says
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,8 +98,16 @@
 
 @lru_cache(maxsize=1024)
 def _compiled(pattern: str) -> re.Pattern[str]:
-    wild = {"*": ".*", "?": "."}
-    return re.compile("".join(wild.get(it, re.escape(it)) for it in pattern), re.DOTALL)
+    def fixed(text: str) -> str:
+        return "".join("." if it == "?" else re.escape(it) for it in text)
+
+    first, *rest = pattern.split("*")
+    if not rest:
+        return re.compile(fixed(first), re.DOTALL)
+    # The first place where the text between two stars is found will do. Guards service against a pattern with
+    # many stars, for which every way to share the subject out among them would be tried.
+    between = "".join(f"(?>.*?{fixed(text)})" for text in rest[:-1] if text)
+    return re.compile(f"{fixed(first)}{between}.*{fixed(rest[-1])}", re.DOTALL)
 
 
 def fits(pattern: str, text: str) -> bool:
@@ -122,7 +158,9 @@
 def denied(identity: Identity, claims: Mapping[str, object]) -> bool:
     """True if the subject is denied, whatever else the token says."""
     subject = claims.get("sub")
-    return isinstance(subject, str) and any(fits(pattern, subject) for pattern in identity.denied)
+    if not isinstance(subject, str):
+        return False
+    return identity.distributed.deny_subject(subject) or any(fits(it, subject) for it in identity.denied)
 
 
 def map_token(identity: Identity, claims: Mapping[str, object]) -> Caller | None:
--- a/ironmill/logs.py
+++ b/ironmill/logs.py
@@ -18,6 +18,19 @@
 _FIELDS = "ironmill_fields"
 
 
+class _Level:
+    """What is logged at all: as the settings say, unless distributed configuration says otherwise."""
+
+    own = "INFO"
+    distributed = ""
+
+    def set(self) -> None:
+        logging.getLogger().setLevel((self.distributed or self.own).upper())
+
+
+_level = _Level()
+
+
 class EventLog:
     """A logger of the standard library that takes fields."""
 
@@ -57,7 +70,14 @@
     for old in root.handlers[:]:
         root.removeHandler(old)
     root.addHandler(handler)
-    root.setLevel(logging.INFO if settings is None else settings.level.upper())
+    _level.own = "INFO" if settings is None else settings.level
+    _level.set()
+
+
+def override_level(level: str) -> None:
+    """The level from now on, whatever the settings say, also later; empty: theirs holds again."""
+    _level.distributed = level
+    _level.set()
 
 
 def _structured(name: str, settings: LogSettings) -> logging.Formatter:
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,366 @@
+"""What distributed keys mean to a proxy: who is denied, how much is logged, and what is refused."""
+
+from __future__ import annotations
+
+import logging
+import random
+import ssl
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from ironmill import configuration, logs
+from ironmill.callers import Callers
+from ironmill.configuration import Configuration, InForce, check_form
+from ironmill.distribution.revision import Changes, Consumer, Refusal
+from ironmill.identity import rules
+from ironmill.identity.gate import Admitted, Refused
+from ironmill.identity.rules import CallerRule, Denials, TokenMatch, fits
+from ironmill.identity.tokens import Refusal as Why
+from ironmill.settings.model import LogSettings
+from ironmill.timers import TimerQueue
+from ironmill_lab.certificates import Authority, fingerprint
+from tests.identity import AUDIENCE, ISSUER, Keys, identity
+from tests.identity import rule as rule_of
+from tests.test_callers import Stands
+from tests.test_gateway import FakeTimers
+
+PRINT = "ab" * 32
+
+
+@pytest.fixture(scope="module")
+def keys(tmp_path_factory: pytest.TempPathFactory) -> Keys:
+    return Keys(tmp_path_factory.mktemp("keys"))
+
+
+@pytest.fixture
+def level() -> Iterator[logging.Logger]:
+    """The root logger, as it was before afterwards."""
+    root = logging.getLogger()
+    before, handlers = root.level, root.handlers[:]
+    yield root
+    logs.override_level("")
+    root.handlers[:] = handlers
+    root.setLevel(before)
+
+
+def no_level(_: str) -> None:
+    pass
+
+
+def callers_of(keys: Keys, timers: Any, clock: Any = time.time, **changes: Any) -> Callers:
+    return Callers(identity(**changes), keys.ring(), timers, clock)
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "reason"),
+    [
+        ("deny/subject/farm-17@*", b"leaked", ""), ("deny/subject/" + "x" * 187, b"", ""),
+        ("deny/subject/a/b", b"\xff", ""), ("deny/subject/", b"x", "a pattern is 1 to 255"),
+        ("deny/subject/a b", b"x", "a pattern is 1 to 255"), ("deny/subject/ß", b"x", "a pattern is"),
+        (f"deny/fingerprint/{PRINT}", b"", ""), (f"deny/fingerprint/{PRINT.upper()}", b"", "64 digits of 0"),
+        ("deny/fingerprint/ab", b"", "64 digits of 0"), (f"deny/fingerprint/{PRINT}\n", b"", "64 digits"),
+        ("log/level", b"debug", ""), ("log/level", b"error", ""), ("log/level", b"DEBUG", "a level is"),
+        ("log/level", b"", "a level is one of"), ("log/level/x", b"info", "unknown key"),
+        ("shard/registry-3", b"r17", ""), ("shard/a/b", "straße".encode(), ""), ("shard/x", b"u" * 64, ""),
+        ("shard/x", "ß".encode() * 64, ""), ("shard/x", b"u" * 65, "1 to 64 printable"),
+        ("shard/x", b"", "1 to 64 printable"), ("shard/x", b"a\nb", "1 to 64 printable"),
+        ("shard/x", b"\xff", "is UTF-8"), ("shard/", b"r", "a shard has a name"),
+        ("deny/", b"", "unknown key"), ("deny", b"", "unknown key"), ("Shard/x", b"r", "unknown key"),
+        ("", b"", "unknown key"),
+    ],
+)
+def test_the_form_of_keys_and_values(key: str, value: bytes, reason: str) -> None:
+    refusal = check_form({"shard/good": b"r1", key: value})
+    assert (refusal is None) is not bool(reason)
+    if refusal is not None:
+        assert refusal.key == key
+        assert reason in refusal.reason
+    assert check_form({key: None}) is None  # mends what was refused
+
+
+@given(st.dictionaries(st.text(max_size=30), st.none() | st.binary(max_size=80), max_size=4))
+def test_any_changes_are_checked_and_what_passes_is_applied(changes: Changes) -> None:
+    for prefix in ("", "deny/subject/", "shard/", "log/level"):
+        it = Configuration(None, no_level)
+        prefixed = {prefix + key: value for key, value in changes.items()}
+        if it.check(prefixed) is None:
+            it.apply(prefixed)
+            assert it.in_force.subjects == frozenset()
+
+
+def test_without_identity_nobody_can_be_denied_and_all_else_holds(level: logging.Logger) -> None:
+    it = Configuration(None)
+    for key in ("deny/subject/x", f"deny/fingerprint/{PRINT}"):
+        refusal = it.check({"log/level": b"debug", key: b""})
+        assert refusal == Refusal(key, "this proxy's settings hold no identity, so nobody can be denied")
+        assert it.check({key: None, "log/level": b"debug", "shard/a": b"r"}) is None
+    it.apply({"log/level": b"debug", "deny/subject/x": None, "shard/a": b"r"})
+    assert level.level == logging.DEBUG
+
+
+def test_a_check_changes_nothing(keys: Keys, monkeypatch: pytest.MonkeyPatch) -> None:
+    callers = callers_of(keys, FakeTimers(monkeypatch))
+    it = Configuration(callers, lambda level: pytest.fail(level))
+    before, gate = it.in_force, callers.gate.identity
+    assert it.check({"deny/subject/a": b"", "log/level": b"debug"}) is None
+    assert it.check({"deny/subject/a": b"", "other": b""}) == Refusal("other", "unknown key")
+    assert it.in_force is before
+    assert callers.gate.identity is gate
+
+
+def test_too_many_denials_are_refused_by_name(
+    keys: Keys, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for name in ("SUBJECTS_MOST", "PATTERNS_MOST", "FINGERPRINTS_MOST"):
+        monkeypatch.setattr(configuration, name, 2)
+    it = Configuration(callers_of(keys, FakeTimers(monkeypatch)), no_level)
+    for what, names in (
+        ("subjects", ["deny/subject/a", "deny/subject/b", "deny/subject/c"]),
+        ("subjects with wildcards", ["deny/subject/*a", "deny/subject/b?", "deny/subject/*"]),
+        ("fingerprints", [f"deny/fingerprint/{letter * 64}" for letter in "abc"]),
+    ):
+        it.apply(dict.fromkeys(names[:2], b""))
+        reason = f"3 {what} would be denied; a proxy takes 2 at most"
+        assert it.check({"shard/x": b"r", names[2]: b""}) == Refusal(names[2], reason)
+        assert it.check({names[0]: None, names[2]: b""}) is None  # one goes, one comes
+        assert it.check({names[1]: b"another note"}) is None
+
+
+def test_the_level_holds_over_a_reload_until_its_key_is_gone(level: logging.Logger) -> None:
+    logs.set_up("p", LogSettings(level="warning"))
+    it = Configuration(None)
+    it.apply({"log/level": b"debug"})
+    assert level.level == logging.DEBUG
+    logs.set_up("p", LogSettings(level="error"))  # as at SIGHUP
+    assert level.level == logging.DEBUG
+    it.apply({"shard/x": b"r"})
+    assert level.level == logging.DEBUG
+    it.apply({"log/level": None})
+    assert level.level == logging.ERROR
+    logs.set_up("p", None)
+    assert level.level == logging.INFO
+
+
+def test_who_stands_is_moved_when_denied_as_after_a_reload(
+    keys: Keys, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    timers = FakeTimers(monkeypatch)
+    offset = time.time() - timers.now
+    callers = callers_of(keys, timers, lambda: timers.now + offset, move_within=1.0)
+    it = Configuration(callers, no_level)
+    drivers = [Stands() for _ in range(4)]
+    for at, driver in enumerate(drivers):
+        verdict = callers.present(keys.token(sub=f"farm-{at}"), "x")
+        assert isinstance(verdict, Admitted)
+        assert callers.open(verdict) is None
+        callers.stands(verdict, driver)
+
+    def moved() -> list[int]:
+        timers.run(2.0)
+        return [len(driver.moved) for driver in drivers]
+
+    it.apply({"deny/subject/farm-1": b"", "deny/subject/farm-9": b""})
+    assert moved() == [0, 1, 0, 0]
+    it.apply({"deny/subject/?arm-3": b""})
+    assert moved() == [0, 1, 0, 1]
+    # At SIGHUP and with another ring both hold, and nobody is moved twice.
+    callers.replace(identity(move_within=1.0, denied=("farm-2",)), keys.ring())
+    assert moved() == [0, 1, 1, 1]
+    callers.replace(identity(move_within=1.0), keys.ring())
+    callers.replace(callers.gate.identity, keys.ring())  # as the watch on the ring does
+    assert moved() == [0, 1, 1, 1]
+    verdicts = [callers.present(keys.token(sub=f"farm-{at}"), "x") for at in range(4)]
+    assert [isinstance(verdict, Admitted) for verdict in verdicts] == [True, False, True, False]
+    it.apply({"deny/subject/farm-1": None, "deny/subject/?arm-3": None, "deny/subject/farm-9": None})
+    assert isinstance(callers.present(keys.token(sub="farm-3"), "x"), Admitted)
+    # Where what stands is kept, it is kept here too.
+    callers.replace(identity(move_within=None), keys.ring())
+    it.apply({"deny/subject/farm-0": b""})
+    assert moved() == [0, 1, 1, 1]
+
+
+def test_a_request_that_began_before_a_denial_is_looked_at_once_it_stands(
+    keys: Keys, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    timers = FakeTimers(monkeypatch)
+    offset = time.time() - timers.now
+    callers = callers_of(keys, timers, lambda: timers.now + offset, move_within=1.0)
+    driver = Stands()
+    guest = callers.guest(driver, "x")
+    assert guest.show(keys.token()) is None
+    Configuration(callers, no_level).apply({"deny/subject/farm-1": b""})
+    assert guest.ask("read") is None  # it keeps what was in force when it began
+    guest.stands()
+    timers.run(2.0)
+    assert len(driver.moved) == 1
+
+
+def test_a_certificate_that_is_denied(keys: Keys, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    timers = FakeTimers(monkeypatch)
+    offset = time.time() - timers.now
+    who = CallerRule(rule_of().caller, (), 1, ("dns:*.farm.example",))
+    it = Callers(identity(who, move_within=0.5), keys.ring(), timers, lambda: timers.now + offset)
+    shown, _ = Authority(tmp_path).certificate("x", "x.farm.example")
+    der = ssl.PEM_cert_to_DER_cert(Path(shown).read_text())
+    verdict = it.certificate(der, "x")
+    assert isinstance(verdict, Admitted)
+    assert verdict.certificate is not None
+    driver = Stands()
+    it.open(verdict)
+    it.stands(verdict, driver)
+    key = f"deny/fingerprint/{fingerprint(shown)}"
+    consumer = Configuration(it, no_level)
+    assert consumer.check({key: b"lost"}) is None
+    consumer.apply({key: b"lost"})
+    refused = it.certificate(der, "x")
+    assert isinstance(refused, Refused)
+    assert refused.refusal is Why.DENIED
+    timers.run(1.0)
+    assert len(driver.moved) == 1
+    consumer.apply({key: None})
+    assert isinstance(it.certificate(der, "x"), Admitted)
+
+
+SUBJECTS = ["farm-1", "farm-2", "farm-22", "farm-x", "farm-"]
+PATTERNS = ["farm-1", "farm-2", "farm-2?", "farm-*", "*x", "farm-?", "*", "other", "?arm-*2", "farm-**"]
+
+
+class DenialMachine(RuleBasedStateMachine):
+    """Revisions, reloads and other rings in any order: who is denied is whom either of them denies."""
+
+    keys: Keys
+    tokens: dict[str, bytes]  # by subject
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.timers = TimerQueue(time.monotonic)
+        self.callers = callers_of(self.keys, self.timers)
+        self.it = Configuration(self.callers, self.take_level)
+        self.pushed: dict[str, bytes] = {}
+        self.own: tuple[str, ...] = ()
+        self.level = ""
+
+    def take_level(self, level: str) -> None:
+        assert level != self.level  # nothing is told twice
+        self.level = level
+
+    @rule(changes=st.dictionaries(
+        st.sampled_from([f"deny/subject/{it}" for it in PATTERNS])
+        | st.sampled_from(["log/level", "shard/a", "other"]),
+        st.none() | st.sampled_from([b"info", b"debug", b""]), min_size=1, max_size=4,
+    ))
+    def revision(self, changes: Changes) -> None:
+        before, level = self.it.in_force, self.level
+        refusal = self.it.check(changes)
+        wrong = {
+            key for key, value in changes.items() if value is not None and (
+                key == "other" or (value == b"" and key in ("log/level", "shard/a"))
+            )
+        }
+        assert (refusal is not None) is bool(wrong)
+        assert (self.it.in_force, self.level) == (before, level)
+        if refusal is not None:
+            assert refusal.key in wrong
+            return
+        self.it.apply(changes)
+        merged = self.pushed | changes
+        self.pushed = {key: value for key, value in merged.items() if value is not None}
+
+    @rule(own=st.lists(st.sampled_from(PATTERNS[:6]), max_size=2))
+    def reload(self, own: list[str]) -> None:
+        self.own = tuple(own)
+        self.callers.replace(identity(denied=self.own), self.keys.ring())
+
+    @rule()
+    def another_ring(self) -> None:
+        self.callers.replace(self.callers.gate.identity, self.keys.ring())
+
+    @invariant()
+    def denied_is_whom_either_denies(self) -> None:
+        denied = [key.removeprefix("deny/subject/") for key in self.pushed if key.startswith("deny/subject/")]
+        for subject, token in self.tokens.items():
+            verdict = self.callers.gate.present(token, "x", time.time())
+            expected = any(naive(pattern, subject) for pattern in (*self.own, *denied))
+            assert isinstance(verdict, Refused) is expected, (subject, self.own, denied)
+            if isinstance(verdict, Refused):
+                assert verdict.refusal is Why.DENIED
+        assert self.level == self.pushed.get("log/level", b"").decode()
+
+
+def test_who_is_denied_is_whom_settings_or_keys_deny(keys: Keys) -> None:
+    class Machine(DenialMachine):
+        pass
+
+    Machine.keys = keys
+    Machine.tokens = {subject: keys.token(sub=subject) for subject in SUBJECTS}
+    run_state_machine_as_test(Machine, settings=settings(max_examples=40, stateful_step_count=20))
+
+
+def naive(pattern: str, text: str) -> bool:
+    """Whether it fits, the slow and plain way."""
+    if not pattern:
+        return not text
+    if pattern[0] == "*":
+        return any(naive(pattern[1:], text[at:]) for at in range(len(text) + 1))
+    return bool(text) and pattern[0] in ("?", text[0]) and naive(pattern[1:], text[1:])
+
+
+@given(st.text("ab*?.\n[", max_size=8), st.text("ab.\n[", max_size=10))
+def test_a_pattern_fits_as_it_always_did(pattern: str, text: str) -> None:
+    assert fits(pattern, text) is naive(pattern, text)
+
+
+def test_a_pattern_with_many_stars_costs_no_more_than_others() -> None:
+    began = time.process_time()
+    for pattern in ("*a" * 90 + "*b", "a*" * 93, "*?" * 90 + "b"):
+        assert not fits(pattern, "a" * 80 + "c")
+    assert fits("*a" * 90 + "*", "a" * 255)
+    assert time.process_time() - began < 2.0
+
+
+def test_many_denials_cost_a_credential_no_more_than_a_few(monkeypatch: pytest.MonkeyPatch) -> None:
+    """By count: whole subjects are looked up, and not gone through."""
+    calls = 0
+
+    def counted(pattern: str, text: str) -> bool:
+        nonlocal calls
+        calls += 1
+        return fits(pattern, text)
+
+    monkeypatch.setattr(rules, "fits", counted)
+    denials = Denials(frozenset(f"farm-{at}" for at in range(5000)), ("a*",))
+    assert denials.deny_subject("farm-4999")
+    assert not denials.deny_subject("farm-5000")
+    assert calls == 1
+    fresh = Denials(denials.subjects | {"b"}, ("a*", "c?"), frozenset({PRINT})) - denials
+    assert fresh == Denials(frozenset({"b"}), ("c?",), frozenset({PRINT}))
+    assert not denials - denials
+
+
+def test_what_nothing_changes_in_is_not_copied() -> None:
+    rng = random.Random(2)
+    one = InForce().with_changes({f"deny/subject/s{rng.random()}": b"" for _ in range(100)})
+    assert one.with_changes({"shard/a": b"r"}).subjects is one.subjects
+    assert one.with_changes({"deny/subject/*": b""}).subjects is one.subjects
+
+
+def test_it_is_a_consumer_and_brings_no_identity_with_it() -> None:
+    it: Consumer = Configuration(None, no_level)  # mypy says whether it is
+    assert it.check({}) is None
+    assert TokenMatch(ISSUER, AUDIENCE).subject == "*"
+    code = (
+        "import sys, ironmill.configuration\n"
+        "print([name for name in ('ironmill.callers', 'ironmill.identity', 'cryptography', 'lxml')"
+        " if name in sys.modules])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
