--- a/ironmill_lab/faults/schedule.py
+++ b/ironmill_lab/faults/schedule.py
@@ -61,10 +61,10 @@
     def carry(self, now: float, source: str, target: str, data: bytes) -> Iterator[tuple[float, bytes]]:
         """The copies that arrive, each after so many seconds."""
         rng = self._rng
-        delay = self._least + (self._most - self._least) * rng.random()
+        delay = self.delay(source, target)
         copies = [delay]
         for fault in self._faults:
-            if not fault.hits(now, source, target):
+            if not self.hits(fault, now, source, target):
                 continue
             if fault.kind == "cut":
                 return
@@ -81,3 +81,17 @@
                 data = data[:at] + bytes([data[at] ^ (1 << int(rng.random() * 8))]) + data[at + 1 :]
         for one in copies:
             yield one, data
+
+    def delay(self, source: str, target: str) -> float:
+        """Seconds on the way between these two, where nothing is wrong."""
+        return self._least + (self._most - self._least) * self._rng.random()
+
+    def hits(self, fault: Fault, now: float, source: str, target: str) -> bool:
+        """True if the fault is on for this link now."""
+        return fault.hits(now, source, target)
+
+    def cut(self, now: float, source: str, target: str) -> bool:
+        """True if nothing gets from the one to the other now."""
+        return any(
+            fault.kind == "cut" and self.hits(fault, now, source, target) for fault in self._faults
+        )
