Distribution: a proxy that starts anew elsewhere is no longer missed where it was

Cause: only a proxy itself told its new parent of the one before, and a new process does not know of it. Seen in the story 'zone': after the zone was back its restarted proxies were named as unreachable by their old parents, and no change was told as everywhere (for an hour, by forget_after). Change: a relay asks the other control machines for children that do not answer, after 1 s and then up to 8 s apart, in datagrams of 900 bytes; who has one says so with the Moved there was. The lab's relays know the origin as a peer like the driver's.

--- a/ironmill/distribution/node.py
+++ b/ironmill/distribution/node.py
@@ -49,6 +49,7 @@
     Part,
     Place,
     Poll,
+    Sought,
     Summary,
     Word,
 )
@@ -143,6 +144,8 @@
             publisher.moved(envelope, message, source)
         case Noted():
             publisher.noted(envelope, message)
+        case Sought():
+            publisher.sought(envelope, message, source)
         case _:
             raise DroppedError("unasked")
 
--- a/ironmill/distribution/publisher.py
+++ b/ironmill/distribution/publisher.py
@@ -23,6 +23,8 @@
     MOVED_TRIES,
     PAUSED,
     RESEND,
+    SEEK_EVERY,
+    SEEK_MOST,
     SETTLED_AFTER,
     Timing,
 )
@@ -33,6 +35,8 @@
     LAGGARD_BYTES,
     PARTS_MOST,
     REFUSED,
+    SOUGHT_BYTES,
+    SOUGHT_MOST,
     TALLIES_MOST,
     UNREACHABLE,
     Ask,
@@ -41,12 +45,14 @@
     Laggard,
     Leave,
     Message,
+    Missed,
     Moved,
     Noted,
     Page,
     Part,
     Place,
     Poll,
+    Sought,
     Summary,
     Tally,
     Word,
@@ -80,6 +86,8 @@
     pushed: Position | None = None  # a delta that is out, by its target
     pushed_at: float = -math.inf
     reachable: bool = True
+    seek_at: float = 0.0  # while it is not: when the others are asked for it next
+    seek_wait: float = SEEK_EVERY
 
 
 class Cut(Struct, frozen=True):
@@ -128,6 +136,7 @@
         for child in list(self.children.values()):
             if child.reachable and now - child.seen_at > LEASE:
                 child.reachable = False
+                child.seek_at, child.seek_wait = now, SEEK_EVERY
                 child.pushed = None
                 self._waiting.pop(child.name, None)
                 self._link.told("child-unreachable", {"child": child.name, "in_force": str(child.in_force)})
@@ -138,8 +147,26 @@
         while self._gone and now - next(iter(self._gone.values()))[2] > GONE_KEPT:
             del self._gone[next(iter(self._gone))]
         self._tell_moved()
+        self._seek()
         self.pump()
 
+    def _seek(self) -> None:
+        """Ask the others for children that do not answer here: one datagram a tick to each of them."""
+        now, size, missed = self._link.now, 0, list[Missed]()
+        for child in self.children.values():
+            if child.reachable or child.summary is not None or now < child.seek_at:
+                continue
+            size += 40 + len(child.name.encode()) + len(child.zone.encode())
+            if size > SOUGHT_BYTES or len(missed) >= SOUGHT_MOST:
+                break
+            child.seek_at = now + child.seek_wait
+            child.seek_wait = min(SEEK_MOST, 2.0 * child.seek_wait)
+            missed.append(Missed(child.name, child.zone, child.in_force, child.incarnation, child.attached))
+        if missed and not self.stopped:
+            for place in self._peers.values():
+                if place.name != self._link.card.name:
+                    self._link.send(place.name, place.address, Sought(missed))
+
     def _tell_moved(self) -> None:
         for key, (moved, at, tries) in list(self._moved.items()):
             if self._link.now - at < MOVED_EVERY:
@@ -245,6 +272,16 @@
             self._forget(child)
         self._link.send(envelope.sender, source, Noted(moved.name, moved.attached))
 
+    def sought(self, envelope: Envelope[Message], sought: Sought, source: Address) -> None:
+        """Another relay asks for children that do not answer there. What it is not told it asks again."""
+        if envelope.sender not in self._peers:
+            raise DroppedError("stranger")
+        for missed in sought.children:
+            child = self.children.get(missed.name)
+            if child is not None and child.reachable and child.incarnation >= missed.incarnation:
+                moved = Moved(child.name, child.incarnation, child.attached)
+                self._link.send(envelope.sender, source, moved)
+
     def noted(self, envelope: Envelope[Message], noted: Noted) -> None:
         """The other relay knows."""
         waiting = self._moved.get((envelope.sender, noted.name))
--- a/ironmill/distribution/timing.py
+++ b/ironmill/distribution/timing.py
@@ -21,6 +21,7 @@
 SETTLED_AFTER = 3.0  # a process that has just started cannot know its children yet
 PAUSED = 0.6  # a tick that comes this much late: this process did not run
 MOVED_EVERY, MOVED_TRIES = 0.5, 60  # telling another relay that its child is here now
+SEEK_EVERY, SEEK_MOST = 1.0, 8.0  # asking the others for a child that does not answer, less often each time
 STORE_CHECK = 1.0  # between two looks whether another writer has opened the store
 
 
--- a/ironmill/distribution/wire.py
+++ b/ironmill/distribution/wire.py
@@ -21,6 +21,8 @@
 TALLIES_MOST = 24
 PREVIOUS_MOST = 3  # parents named that have had a child before
 REASON_MOST = 120  # characters
+SOUGHT_BYTES = 900  # of children in one question for them
+SOUGHT_MOST = 64
 AGE_NEVER = -1
 
 BEHIND, REFUSED, UNREACHABLE = "behind", "refused", "unreachable"
@@ -183,7 +185,26 @@
     attached: int
 
 
-Message = Poll | Word | Part | Ask | Digests | Fetch | Page | Leave | Moved | Noted
+class Missed(Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """A child that does not answer."""
+
+    name: str
+    zone: str
+    in_force: Position
+    incarnation: int
+    attached: int
+
+
+class Sought(Struct, frozen=True, array_like=True, tag=20, forbid_unknown_fields=True):
+    """A relay to the other control machines: who has one of these, or a later one of its name, says Moved.
+
+    A proxy that was started anew does not know who had it before.
+    """
+
+    children: list[Missed]
+
+
+Message = Poll | Word | Part | Ask | Digests | Fetch | Page | Leave | Moved | Noted | Sought
 _DECODER = msgspec.msgpack.Decoder(Envelope[Message])
 
 
@@ -254,6 +275,11 @@
             )
         case Moved() | Noted():
             return named(message.name) and _number(message.attached)
+        case Sought():
+            return len(message.children) <= SOUGHT_MOST and all(
+                named(one.name) and short(one.zone) and _position(one.in_force)
+                and 0 < one.incarnation < NUMBER_MOST and _number(one.attached) for one in message.children
+            )
         case Leave():
             return True
 
--- a/ironmill_lab/faults/fleet_world.py
+++ b/ironmill_lab/faults/fleet_world.py
@@ -229,9 +229,8 @@
                 card, self._codec, self.timing, self._relays, process.consumer, rng, self.now, told
             )
         elif process.role == "relay":
-            process.node = Relay(
-                card, self._codec, self.timing, self._origins, self._relays, rng, self.now, told
-            )
+            peers = [place for place in (*self._origins, *self._relays) if place.name != name]
+            process.node = Relay(card, self._codec, self.timing, self._origins, peers, rng, self.now, told)
         else:
             process.node = Origin(
                 card, self._codec, self.timing, self.disk.open(), self._relays,
