Distribution: the origin remembers whom a relay missed, should that relay start anew

Cause: a relay that was killed while a child was cut off knew nothing of it afterwards, and the origin told a change as in force everywhere that this proxy did not have (seen: 1.2 told, the proxy at 1.1). Those whose relay has started anew count as unreachable, by name, until a relay says that it has them. Not covered: a relay that is killed within the 1.5 s of the lease after its child went away, and one that restarts together with the origin; nobody has seen the child go then.

--- a/ironmill/distribution/node.py
+++ b/ironmill/distribution/node.py
@@ -12,7 +12,8 @@
 
 from ironmill.distribution.link import Link, OnEvent
 from ironmill.distribution.log import RevisionLog
-from ironmill.distribution.publisher import Publisher
+from ironmill.distribution.missing import MissingList
+from ironmill.distribution.publisher import NO_LOWEST, Publisher, add_tally
 from ironmill.distribution.replica import Replica
 from ironmill.distribution.revision import (
     START,
@@ -51,6 +52,7 @@
     Poll,
     Sought,
     Summary,
+    Tally,
     Word,
 )
 from ironmill.membership.envelope import Address, Card, Datagram, DroppedError, Envelope
@@ -258,6 +260,7 @@
         self.replica.digest = self.replica.keyspace.digest
         self.publisher = Publisher(self.link, self.replica, timing, relays)
         self.publisher.term, self.publisher.age = store.epoch, 0
+        self._missing = MissingList(timing.forget_after)
         self._everywhere = START
         self._pushed_at: dict[Position, float] = {}
 
@@ -313,12 +316,17 @@
     def summary(self, room: int = LAGGARDS_SHOWN) -> Summary:
         """What is known of the whole fleet: a relay that is away is a laggard of its own."""
         summary = self.publisher.summary(room)
+        tallies = {tally.zone: tally for tally in summary.tallies}
+        alone = []
+        for one in self._missing.alone():
+            add_tally(tallies, Tally(one.zone, 0, NO_LOWEST, 0, 1, 0))
+            alone.append(Laggard(one.name, one.zone, one.in_force, UNREACHABLE))
         away = [
             Laggard(place.name, place.zone, START, UNREACHABLE) for place in self._relays
             if place.name != self.card.name and place.name not in self.publisher.children
         ]
         settled = summary.settled and not away
-        return Summary(settled, summary.tallies, away + summary.laggards, summary.more)
+        return Summary(settled, list(tallies.values()), away + alone + summary.laggards, summary.more)
 
     @property
     def everywhere(self) -> Position:
@@ -349,6 +357,10 @@
             self._look_at = self.link.now + STORE_CHECK
             if self._store.fenced():
                 self._stop()
+        reachable = {
+            child.name: child.incarnation for child in self.publisher.children.values() if child.reachable
+        }
+        self.publisher.seek(self._missing.look(reachable, self.link.now))
         self._look_everywhere()
 
     def _take(self, envelope: Envelope[Message], source: Address) -> None:
@@ -361,6 +373,10 @@
                 self._store.observe(message.held.epoch)
                 self.link.told("fleet-ahead", {"fleet": str(message.held), "store": str(self.replica.held)})
         _of_parent(self.publisher, envelope, source)
+        if isinstance(message, Sought):
+            self._missing.heard(envelope.sender, envelope.incarnation, message.children, self.link.now)
+        elif isinstance(message, Moved):
+            self._missing.found(message.name, message.incarnation, message.attached)
 
     def _look_everywhere(self) -> None:
         lowest = _everywhere(self.summary(0), self.replica.held)
--- a/ironmill/distribution/publisher.py
+++ b/ironmill/distribution/publisher.py
@@ -63,6 +63,7 @@
 PARTS_A_TICK = 1024  # datagrams of pushes in a tenth of a second; what is left goes with the next
 CUTS_KEPT = 16  # deltas kept in pieces, for children at the same position
 GONE_KEPT = 10.0  # seconds; no datagram is on its way for so long
+SOUGHT_WAIT_MOST = 1024  # children that wait to be asked for; the others are asked for another time
 SERVE_BURST = 0.25  # seconds of the rate that may be answered at once
 
 
@@ -117,6 +118,7 @@
         self._cuts_head = START
         self._moved: dict[tuple[str, str], tuple[Moved, float, int]] = {}  # by peer and child
         self._gone: dict[str, tuple[int, int, float]] = {}  # children that are elsewhere now, and since when
+        self._sought: list[Missed] = []  # one datagram of them goes with a tick
         self._ticked = link.now
         self._settled_at = link.now + SETTLED_AFTER
         self._serve_credit = timing.serve_rate * SERVE_BURST
@@ -151,21 +153,30 @@
         self.pump()
 
     def _seek(self) -> None:
-        """Ask the others for children that do not answer here: one datagram a tick to each of them."""
-        now, size, missed = self._link.now, 0, list[Missed]()
+        """Ask the others for children that do not answer here."""
+        now, missed = self._link.now, list[Missed]()
         for child in self.children.values():
             if child.reachable or child.summary is not None or now < child.seek_at:
                 continue
-            size += 40 + len(child.name.encode()) + len(child.zone.encode())
-            if size > SOUGHT_BYTES or len(missed) >= SOUGHT_MOST:
-                break
             child.seek_at = now + child.seek_wait
             child.seek_wait = min(SEEK_MOST, 2.0 * child.seek_wait)
             missed.append(Missed(child.name, child.zone, child.in_force, child.incarnation, child.attached))
-        if missed and not self.stopped:
+        self.seek(missed)
+
+    def seek(self, missed: Sequence[Missed]) -> None:
+        """Ask all other control machines who has these."""
+        self._sought += missed[: SOUGHT_WAIT_MOST - len(self._sought)]
+        size, batch = 0, list[Missed]()
+        for one in self._sought[:SOUGHT_MOST]:
+            size += 40 + len(one.name.encode()) + len(one.zone.encode())
+            if size > SOUGHT_BYTES:
+                break
+            batch.append(one)
+        del self._sought[: len(batch)]
+        if batch and not self.stopped:
             for place in self._peers.values():
                 if place.name != self._link.card.name:
-                    self._link.send(place.name, place.address, Sought(missed))
+                    self._link.send(place.name, place.address, Sought(batch))
 
     def _tell_moved(self) -> None:
         for key, (moved, at, tries) in list(self._moved.items()):
@@ -419,12 +430,12 @@
                 more += child.summary.more
                 laggards += child.summary.laggards
                 for tally in child.summary.tallies:
-                    _add(tallies, tally)
+                    add_tally(tallies, tally)
                 continue
             refused = child.reachable and child.refusal is not None
             well = child.reachable and not refused
-            lowest = child.in_force if well else _NO_LOWEST
-            _add(tallies, Tally(
+            lowest = child.in_force if well else NO_LOWEST
+            add_tally(tallies, Tally(
                 child.zone, int(child.reachable), lowest, int(refused), int(not child.reachable),
                 int(child.reachable and child.stale),
             ))
@@ -442,7 +453,7 @@
         while len(found) > TALLIES_MOST:  # more zones than there is room for: those best off are one
             last = found.pop()
             rest = {"": _renamed(found.pop(), "")}
-            _add(rest, _renamed(last, ""))
+            add_tally(rest, _renamed(last, ""))
             found.append(rest[""])
         return Summary(settled, found, named, more + len(laggards) - len(named))
 
@@ -456,7 +467,7 @@
 
 
 _WORST = (REFUSED, UNREACHABLE, BEHIND)
-_NO_LOWEST = Position((1 << 62) - 1, (1 << 62) - 1)  # none of them counts
+NO_LOWEST = Position((1 << 62) - 1, (1 << 62) - 1)  # none of them counts
 
 
 def _renamed(tally: Tally, zone: str) -> Tally:
@@ -464,7 +475,8 @@
     return Tally(zone, tally.proxies, tally.lowest, tally.refused, tally.unreachable, tally.stale)
 
 
-def _add(tallies: dict[str, Tally], one: Tally) -> None:
+def add_tally(tallies: dict[str, Tally], one: Tally) -> None:
+    """Add some proxies to those of their zone."""
     old = tallies.get(one.zone)
     if old is not None:
         one = Tally(
--- a/tests/test_distribution_everywhere.py
+++ b/tests/test_distribution_everywhere.py
@@ -1,9 +1,9 @@
-"""When a change is told as in force everywhere: never too early, and not late for those that are elsewhere."""
+"""When a change is told as in force everywhere: never too early, nor late for who is elsewhere now."""
 
 from __future__ import annotations
 
 from ironmill_lab.faults.fleet_world import FleetWorld, Plan
-from ironmill_lab.faults.schedule import Fault
+from ironmill_lab.faults.schedule import Fault, both_ways
 
 PLAN = Plan(proxies=22, control=5, entries=50)
 
@@ -33,3 +33,22 @@
     world.run(world.now + 3.0)
     assert position in world.watch.everywhere
     assert world.watch.false_everywhere == 0
+
+
+def test_a_proxy_that_is_cut_off_is_missed_though_its_relay_starts_anew() -> None:
+    """The relay had forgotten it, and the origin told a change as everywhere that the proxy did not have."""
+    world = settled(*both_ways(8.0, 50.0, ("p00001",), ("control",)))
+    world.run(13.0)
+    world.kill("c01")
+    world.run(15.0)
+    world.start("c01")
+    world.run(20.0)
+    position = world.push({"shard/1": b"new"})
+    world.run(30.0)
+    status = world.origin.status(world.now)
+    assert [(one["name"], one["why"]) for one in status["laggards"]] == [("p00001", "unreachable")]
+    assert position not in world.watch.everywhere
+    world.run(60.0)
+    assert position in world.watch.everywhere
+    assert world.watch.false_everywhere == 0
+    assert world.origin.status(world.now)["laggards"] == []
