--- a/ironmill_lab/__main__.py
+++ b/ironmill_lab/__main__.py
@@ -5,6 +5,7 @@
   ironmill_lab call HOST:PORT [--token=TOKEN] [--class=NAME] [--tls=FILE] [--certificate=PATH]
   ironmill_lab certificates DIR
   ironmill_lab measure NAME [--quick] [--poller=NAME] [--program=DIR]
+  ironmill_lab capacity [--check] [--plots]
   ironmill_lab emulate [--hosts=N]
   ironmill_lab floor KIND --target=HOST:PORT
   ironmill_lab (-h | --help)
@@ -20,6 +21,8 @@
   --quick        Smaller sizes: done within a minute.
   --poller=NAME  What the proxy waits with: epoll or poll [default: epoll].
   --program=DIR  Measure the proxy of another checkout, found in this folder.
+  --check        Only say whether docs/CAPACITY.md is what data and formulas give; status 1 if not.
+  --plots        Also draw the plots beside it.
   --hosts=N      How many servers are emulated [default: 6].
   --target=HOST:PORT  Where a floor sends all lines on to.
   -h --help      Show this text.
@@ -67,6 +70,10 @@
         from ironmill_lab import certificates
 
         return certificates.write_all(Path(words["DIR"]))
+    if words["capacity"]:
+        from ironmill_lab.capacity import page
+
+        return page.run(words["--check"], words["--plots"])
     from ironmill_lab import measure
 
     program = Path(words["--program"]).resolve() if words["--program"] else None
