--- a/ironmill_lab/capacity/data.py
+++ b/ironmill_lab/capacity/data.py
@@ -87,7 +87,7 @@
         x = np.array([point[0] for point in self.points])
         y = np.array([point[1] for point in self.points])
         if self.shape is Shape.LINE:
-            weights = 1.0 / np.maximum(np.abs(y), 1e-12)
+            weights = 1.0 / np.maximum(np.abs(y), _floor(y))
             (slope, constant), spread = np.polyfit(x, y, 1, w=weights, cov=True)
             errors = np.sqrt(np.diag(spread))
         else:
@@ -96,10 +96,16 @@
             constant = math.exp(constant)
             errors[1] *= constant
         fit = Fit(self.shape, float(constant), float(slope), float(errors[1]), float(errors[0]), 0.0)
-        off = [(value - fit.at(size)) / max(abs(fit.at(size)), 1e-12) for size, value in self.points]
+        least = _floor(y)
+        off = [(value - fit.at(size)) / max(abs(fit.at(size)), least) for size, value in self.points]
         return msgspec.structs.replace(fit, residual=math.sqrt(sum(one * one for one in off) / len(off)))
 
 
+def _floor(costs: Any) -> float:
+    """What a cost of nothing counts as, or it would outweigh all others: the least that is something."""
+    return float(min((cost for cost in np.abs(costs) if cost > 0.0), default=1e-12))
+
+
 class Measured(Struct, frozen=True, forbid_unknown_fields=True):
     """All that ``measure scale`` found."""
 
--- a/ironmill_lab/capacity/figure.py
+++ b/ironmill_lab/capacity/figure.py
@@ -83,6 +83,11 @@
     return _placed(value, min(places, 0) if whole else places)
 
 
+def plain(value: float) -> str:
+    """As it was given, thousands apart."""
+    return f"{int(value):,}" if value == int(value) else f"{value:g}"
+
+
 def quantity(figure: Figure, unit: str = "", signed: bool = True) -> str:
     """With unit, error and sign, as it stands on the page."""
     if figure.value is None or math.isnan(figure.value):
--- a/ironmill_lab/capacity/formulas.py
+++ b/ironmill_lab/capacity/formulas.py
@@ -55,7 +55,7 @@
             "shards": letter.shards, "children": children(self).value, "relays": relays_of_origin(self),
             "connections": connections_a_process(self).value,
         }
-        return sizes.get(sweep.x.split(" ")[0].lower())
+        return next((sizes[word] for word in sweep.x.lower().split() if word in sizes), None)
 
 
 def _fit(sweep: Sweep) -> Fit | None:
@@ -195,6 +195,16 @@
     return (connections_a_proxy(model) / connections_a_process(model)).ceil()
 
 
+def processes_range(model: Model) -> Figure:
+    """The same, with how far it is off where the connections of a process are off by one error."""
+    whole, bears = processes_a_proxy(model), connections_a_process(model)
+    if whole.value is None or bears.value is None:
+        return whole
+    held = connections_a_proxy(model)
+    ends = [(held / (bears.value + off)).ceil().value or 0.0 for off in (-bears.error, bears.error)]
+    return Figure(whole.value, max(abs(end - whole.value) for end in ends), whole.sign)
+
+
 def _each(model: Model) -> float | None:
     number = processes_a_proxy(model).value
     total = connections_a_proxy(model).value
@@ -208,9 +218,11 @@
 
 
 def data_path_memory(model: Model) -> Figure:
-    """Processes a proxy x the memory of one that holds its part of the connections."""
+    """Processes a proxy x (the start of one + the memory of its part of the connections)."""
     each = _each(model)
-    return Figure(None) if each is None else processes_a_proxy(model) * model.at("core_memory", each)
+    if each is None:
+        return Figure(None)
+    return processes_a_proxy(model) * (model.at("core_memory", each) + model.plan.today.process_bytes)
 
 
 def placement_cores(model: Model, entries: float) -> Figure:
@@ -296,7 +308,18 @@
 
 def cold_time(model: Model) -> Figure:
     """Bytes of a cold start / the rate at which it is asked for."""
-    return cold_bytes(model) / assumed(model.plan.assumed.catch_up_rate)
+    return cold_bytes(model) / model.plan.today.catch_up_bytes_per_s
+
+
+def cold_time_of(model: Model, proxies: Figure) -> Figure:
+    """Where so many start at once, evenly at all relays: what one relay sends / the rate at which it serves.
+
+    But no less than one takes alone.
+    """
+    alone = cold_time(model)
+    shared = proxies * cold_bytes(model) / model.plan.letter.control_machines
+    together = shared / model.plan.today.serve_bytes_per_s
+    return together if (together.value or 0.0) > (alone.value or 0.0) else alone
 
 
 def cold_time_in_budget(model: Model) -> Figure:
@@ -315,6 +338,20 @@
     return Figure(model.plan.letter.shards / model.plan.today.revision_changes).ceil()
 
 
+def calls(model: Model, proxies: float, part: float = 1.0) -> Figure:
+    """Calls a second of so many proxies to a discovery that fails, where pauses are this part of the longest.
+
+    proxies / (part x the lesser of proxies x spacing and the longest pause of one)
+    """
+    today = model.plan.today
+    return Figure(proxies / (part * min(proxies * today.call_spacing_s, today.call_pause_most_s)))
+
+
+def whole_list(model: Model, entries: float) -> Figure:
+    """Reading so many entries and taking them into the table: both in one turn of the hub."""
+    return model.at("table_parse_cpu", entries) + model.at("table_full_cpu", entries)
+
+
 def list_bytes(model: Model) -> Figure:
     """Entries x bytes of one in discovery's list."""
     return assumed(model.plan.assumed.discovery_entry) * model.plan.letter.shards
@@ -342,15 +379,14 @@
     return coming * model.at("core_setup_cpu", each)
 
 
-def minute_mean(model: Model) -> Figure:
+def minute_mean(model: Model, size: float) -> Figure:
     """The mean of the worst minute at a zone's loss, at most.
 
     (span x the highest second + (a minute - span) x rest) / a minute
     """
-    size = model.plan.letter.proxies
     span = model.at("membership_zone_span", size)
-    if span.value is not None and span.value > MINUTE:
-        span = Figure(MINUTE)
+    if span.value is not None:
+        span = Figure(min(max(span.value, 0.0), MINUTE), span.error)
     high, rest = model.at("membership_zone_bytes", size), model.at("membership_rest_bytes", size)
     return (span * high + (Figure(MINUTE) - span) * rest) / MINUTE
 
@@ -402,6 +438,9 @@
     return passes(model, each) * tail / (Figure(1.0) - load)
 
 
+FAN_OUT = "server writes to all its streams, the last one"
+
+
 class Hop(Struct, frozen=True):
     """A part of a delivery's way: seconds with a stream for each listener, and with one for each proxy."""
 
@@ -423,7 +462,7 @@
         Hop("publisher to its proxy", client, client),
         Hop("proxy: waits and passes", waited, waited),
         Hop("proxy to the shard's server, another region", region, region),
-        Hop("server writes to all its streams, the last one", fan_out, streams),
+        Hop(FAN_OUT, fan_out, streams),
         Hop("server to the listener's proxy, another region", region, region),
         Hop("proxy: waits and passes", waited, waited),
         Hop("proxy writes to its listeners, the last one", copies, copies),
@@ -441,9 +480,10 @@
 
 def largest_one_to_one(model: Model) -> Figure:
     """Listeners that a server can write to one by one within what the other hops leave of the time."""
-    single, _ = delivery(model)
-    fan_out = floor_pass(model) * model.plan.letter.largest_topic
-    left = Figure(model.plan.letter.delivery_ms / 1000.0) - (single - fan_out)
+    left = Figure(model.plan.letter.delivery_ms / 1000.0)
+    for hop in hops(model):
+        if hop.name != FAN_OUT:
+            left = left - hop.single
     found = left / floor_pass(model)
     if found.value is not None and found.value < 0.0:
         return Figure(0.0, sign=found.sign)
@@ -451,8 +491,12 @@
 
 
 def server_cores(model: Model) -> Figure:
-    """Deliveries a second of all servers x a pass in a bare epoll loop."""
-    return floor_pass(model) * model.plan.letter.deliveries_per_s
+    """Deliveries a second of all servers x a pass, and set-ups x one, in a bare epoll loop."""
+    letter, each = model.plan.letter, _each(model)
+    if each is None:
+        return Figure(None)
+    setting_up = set_ups_a_proxy(model) * letter.proxies * model.at("core_floor_setup", each)
+    return floor_pass(model) * letter.deliveries_per_s + setting_up
 
 
 # The order in which mechanisms are missing.
@@ -501,6 +545,9 @@
                    "bytes in the highest second at a zone's loss reach the budget"),
         of_members("membership_zone_gone", today.gone_within_s,
                    "a lost zone is out of all views later than promised"),
+        Gap(FLAT_VIEW, "bytes of the worst minute at a zone's loss reach the budget, as its mean",
+            breaks_at(lambda size: minute_mean(model, size), letter.control_bytes_per_s, today.proxies),
+            members, "membership_zone_span"),
         of_members("membership_rest_bytes", letter.control_bytes_per_s, "bytes at rest reach the budget"),
         of_members("membership_rest_cpu", letter.control_core_share,
                    "processor time at rest reaches the budget"),
@@ -510,7 +557,7 @@
                    lambda n: change_cores(model, storm_rate(model), n)),
         of_entries("table_full_cpu", letter.delivery_ms / 1000.0,
                    "a whole list holds the process up for as long as a delivery may take",
-                   lambda n: model.at("table_full_cpu", n)),
+                   lambda n: whole_list(model, n)),
         of_entries("placement_cpu", cores, "placements alone take all that the proxy's processes may be busy",
                    lambda n: placement_cores(model, n), "placement over a flat list"),
         Gap("one process a proxy", "its share of a core at the letter's deliveries and set-ups a connection",
@@ -524,6 +571,33 @@
     return sorted(found, key=lambda gap: math.inf if gap.factor.value is None else gap.factor.value)
 
 
+def distribution_now(model: Model) -> list[Gap]:
+    """Where distribution as it is built gives out, what is worst beside what is asked at the head."""
+    letter, today = model.plan.letter, model.plan.today
+    share = model.plan.assumed.process_share.value
+
+    def gap(name: str, breaks: str, limit: float, cost: Cost | None = None, entries: bool = False) -> Gap:
+        at, most = (today.servers, letter.shards) if entries else (today.proxies, letter.proxies)
+        factor = breaks_at(cost or (lambda size: model.at(name, size)), limit, at)
+        return Gap(CONFIGURATION, breaks, factor, most / at, name)
+
+    def relaying(size: float) -> Figure:
+        return relay_cores(model, storm_rate(model), size / letter.control_machines)
+
+    found = [
+        gap("change_latency_p99", "time until a change is in force", letter.in_force_s),
+        gap("subscriber_rest_bytes", "bytes of a proxy at rest", letter.control_bytes_per_s),
+        gap("subscriber_rest_cpu", "processor time of a proxy at rest", letter.control_core_share),
+        gap("keyspace_memory", "memory of the keyspace", letter.control_bytes, entries=True),
+        gap("relay_push_cpu", "processor time of a relay in a storm", share, relaying),
+    ]
+
+    def rank(one: Gap) -> float:
+        return -1.0 if one.factor.value is None else one.factor.value / one.asked
+
+    return sorted(found, key=rank)
+
+
 def cores_allowed(model: Model) -> Figure:
     """Processes a proxy x the share of a core that each may be busy."""
     return processes_a_proxy(model) * assumed(model.plan.assumed.process_share)
--- a/ironmill_lab/capacity/page.py
+++ b/ironmill_lab/capacity/page.py
@@ -30,6 +30,7 @@
 def inline(model: Model) -> dict[str, str]:
     """Figures that the prose names."""
     letter = model.plan.letter
+    today = model.plan.today
     machine = sorted(model.measured.machine.items())
     chosen, second = formulas.first_missing(model)[:2]
     fan_out = formulas.floor_pass(model)
@@ -45,7 +46,7 @@
         "largest": number(letter.largest_topic),
         "connections": quantity(formulas.connections_a_proxy(model)),
         "deliveries": quantity(formulas.deliveries_a_proxy(model), "/s"),
-        "processes": quantity(formulas.processes_a_proxy(model)),
+        "processes": quantity(formulas.processes_range(model)),
         "choice": chosen.mechanism,
         "choice_why": _why(chosen),
         "second": second.mechanism,
@@ -57,17 +58,20 @@
         "proxies_shard": quantity(formulas.proxies_a_shard(model)),
         "listeners_proxy": quantity(formulas.listeners_a_proxy(model)),
         "server_cores": quantity(formulas.server_cores(model), "cores"),
+        "calls_aim": quantity(Figure(1.0 / today.call_spacing_s)),
+        "pause_most": quantity(Figure(today.call_pause_most_s), "s"),
+        "calls_least": quantity(formulas.calls(model, letter.proxies), "/s"),
+        "calls_most": quantity(formulas.calls(model, letter.proxies, today.call_pause_least), "/s"),
         "zone_high": quantity(model.at("membership_zone_bytes", letter.proxies), "B/s"),
+        "zone_minute": quantity(formulas.minute_mean(model, letter.proxies), "B/s"),
         "zone_span": quantity(model.at("membership_zone_span", letter.proxies), "s"),
         "machine": ", ".join(f"{key} {value}" for key, value in machine) or NOT_RUN,
     }
 
 
 def _why(gap: Gap) -> str:
-    asked = number(gap.asked)
-    if not gap.sweep:
-        return f"{gap.breaks}; its factor is {factor_of(gap)}, {asked} is asked"
-    return f"{gap.breaks}: at {factor_of(gap)} times today's fleet, {asked} is asked"
+    what = gap.breaks[0].upper() + gap.breaks[1:]
+    return f"{what}: {factor_of(gap)}, as a multiple of today's fleet; {number(gap.asked)} is asked"
 
 
 TABLES = {
--- a/ironmill_lab/capacity/plan.py
+++ b/ironmill_lab/capacity/plan.py
@@ -38,11 +38,17 @@
     proxies: float
     servers: float
     gone_within_s: float
-    pushed_calls_per_s: float
+    call_spacing_s: float
+    call_pause_most_s: float
+    call_pause_least: float  # of the longest
     probes_per_s: float
     observers: float  # of a member
     ping_every_s: float
     poll_every_s: float
+    catch_up_bytes_per_s: float
+    serve_bytes_per_s: float
+    delta_bytes: float
+    process_bytes: float
     revision_changes: float
 
 
@@ -70,10 +76,8 @@
     discovery_entry: Assumption
     return_window: Assumption
     cut: Assumption
-    catch_up_rate: Assumption
     between_regions: Assumption
     to_client: Assumption
-    in_zone: Assumption
 
 
 class Plan(Struct, frozen=True, forbid_unknown_fields=True):
--- a/ironmill_lab/capacity/roles.py
+++ b/ironmill_lab/capacity/roles.py
@@ -97,12 +97,13 @@
     held = formulas.connections_a_proxy(model)
     alone = formulas.process_load(model, held.value or 0.0)
     cores, place = formulas.cores_allowed(model), formulas.placement_cores(model, letter.shards)
+    grouped = formulas.set_ups_a_proxy(model) * model.at("placement_group_cpu", letter.shards)
     one, among = _gap(model, "core_setup_cpu"), _gap(model, "placement_cpu")
     return [
         Need("state: connections", held, "", PROCESSES),
         Need("state: connections that one process bears", formulas.connections_a_process(model), "", CORE,
              None, LOAD),
-        Need("processes a proxy", formulas.processes_a_proxy(model), "", PROCESSES, None, LOAD),
+        Need("processes a proxy", formulas.processes_range(model), "", PROCESSES, None, LOAD),
         Need("messages out: deliveries", formulas.deliveries_a_proxy(model), "/s", ONE_TO_ONE),
         Need("messages in: set-ups", formulas.set_ups_a_proxy(model), "/s", CORE),
         Need("processor time, if one process had it all", alone, "cores", CORE, share, LOAD, one.factor,
@@ -111,6 +112,8 @@
              LOAD),
         Need("processor time, placements among all shards in one list", place, "cores", TABLE, cores,
              ("placement_cpu",), among.factor, among.asked),
+        Need("the same, of groups that are new to the proxy", grouped, "cores", TABLE, cores,
+             ("placement_group_cpu",)),
         Need("memory, all its processes", formulas.data_path_memory(model), "B", PROCESSES, None,
              ("core_memory",)),
     ]
@@ -132,7 +135,9 @@
 
     memory, rest, core = letter.control_bytes, letter.control_bytes_per_s, letter.control_core_share
     both = model.at("membership_memory", proxies) + model.at("keyspace_memory", shards)
-    flat, late = _gap(model, "table_change_cpu"), letter.delivery_ms / 1000.0
+    flat, whole = _gap(model, "table_change_cpu"), _gap(model, "table_full_cpu")
+    minute = _gap(model, "membership_zone_span")
+    late = letter.delivery_ms / 1000.0
     return [
         Need("state: members, all known to each", Figure(proxies), "", MEMBERSHIP),
         Need("state: entries, all known to each", Figure(shards), "", KEYSPACE),
@@ -146,6 +151,9 @@
              ("membership_rest_bytes", "subscriber_rest_bytes")),
         Need("bytes in a storm, its changes alone, mean of a minute", changes, "B/s", DISTRIBUTION, rest),
         by("membership_zone_bytes", "bytes at a zone's loss, highest second", "B/s", MEMBERSHIP, rest),
+        Need("bytes at a zone's loss, mean of the worst minute at most",
+             formulas.minute_mean(model, proxies), "B/s", MEMBERSHIP, rest,
+             ("membership_zone_span", "membership_zone_bytes"), minute.factor, minute.asked),
         by("membership_rest_cpu", "processor time at rest, membership", "cores", MEMBERSHIP, core),
         by("subscriber_rest_cpu", "processor time at rest, distribution", "cores", DISTRIBUTION, core),
         Need("processor time at rest, both", formulas.control_rest_cores(model), "cores", BOTH, core,
@@ -155,7 +163,8 @@
         Need("processor time, a storm's changes in the flat list",
              formulas.change_cores(model, storm, shards), "cores", TABLE, core, ("table_change_cpu",),
              flat.factor, flat.asked),
-        by("table_full_cpu", "a whole list holds the process up for", "s", TABLE, late),
+        Need("a whole list holds the process up for", formulas.whole_list(model, shards), "s", TABLE, late,
+             ("table_parse_cpu", "table_full_cpu"), whole.factor, whole.asked),
         by("membership_memory", "memory, view of the members", "B", MEMBERSHIP, memory),
         by("keyspace_memory", "memory, keyspace", "B", KEYSPACE, memory),
         by("table_memory", "memory, routing table and decisions", "B", TABLE, memory),
@@ -197,7 +206,9 @@
 
 def agent(model: Model) -> list[Need]:
     """Discovery's agent, which is not of this program: what it is asked."""
-    letter, calls = model.plan.letter, Figure(model.plan.today.pushed_calls_per_s)
+    letter, today = model.plan.letter, model.plan.today
+    calls = formulas.calls(model, letter.proxies)
+    aim = formulas.breaks_at(lambda n: formulas.calls(model, n), 1.0 / today.call_spacing_s, today.proxies)
     rate, storm = formulas.change_rate(model), formulas.storm_rate(model)
     whole = formulas.list_bytes(model)
     return [
@@ -208,8 +219,9 @@
         Need("bytes of one whole list", whole, "B", WATCH),
         Need("bytes of whole lists for the day's starts, mean of a day",
              whole * formulas.starts_per_day(model) / formulas.DAY, "B/s", WATCH),
-        Need("while it fails: calls of all proxies together", calls, "/s", PACE),
-        Need("while it fails: one proxy's turn comes every", letter.proxies / calls, "s", PACE),
+        Need("while it fails: calls of all proxies together, beside our own aim", calls, "/s", PACE,
+             Figure(1.0 / today.call_spacing_s), (), aim, formulas.multiple(model)),
+        Need("while it fails: the longest pause of one proxy", Figure(today.call_pause_most_s), "s", PACE),
         Need("processor time and memory, not this program's", Figure(None), "", WATCH),
     ]
 
@@ -225,7 +237,7 @@
         Need("messages out: deliveries", letter.deliveries_per_s / servers, "/s", ONE_TO_ONE),
         Need("messages in: probes, all servers together", Figure(today.probes_per_s), "/s", PROBES),
         Need("processor time, all servers, bare epoll loops", formulas.server_cores(model), "cores",
-             ONE_TO_ONE, None, ("core_floor_line",)),
+             ONE_TO_ONE, None, ("core_floor_line", "core_floor_setup")),
         Need("one line written to all listeners of the largest topic", fan_out, "s", ONE_TO_ONE,
              letter.delivery_ms / 1000.0, ("core_floor_line",), largest.factor, largest.asked),
         Need("memory, not this program's", Figure(None), "", ONE_TO_ONE),
--- a/ironmill_lab/capacity/tables.py
+++ b/ironmill_lab/capacity/tables.py
@@ -6,7 +6,7 @@
 
 from ironmill_lab.capacity import formulas
 from ironmill_lab.capacity.data import Shape, Sign, Sweep
-from ironmill_lab.capacity.figure import NOT_RUN, UNKNOWN, Figure, number, quantity, table
+from ironmill_lab.capacity.figure import NOT_RUN, UNKNOWN, Figure, number, plain, quantity, table
 from ironmill_lab.capacity.formulas import Gap, Model
 from ironmill_lab.capacity.plan import Assumption
 
@@ -31,7 +31,8 @@
     failing = Figure(letter.failures_per_day)
     missed, most = cut * rate, cut * storm
     all_entries = entry * letter.shards
-    pace = formulas.assumed(given.catch_up_rate)
+    today, pace = model.plan.today, Figure(model.plan.today.catch_up_bytes_per_s)
+    back = formulas.cold_time_of(model, zone)
 
     def over(story: str) -> str:
         return f", over its budget for {_q(model.story(story, 'over_budget_s'), 's')}"
@@ -52,7 +53,7 @@
     rows = [
         [
             f"an ordinary day: {number(failed)} failures, {number(letter.restarts_per_day)} restarts",
-            f"one every {_q(formulas.DAY / per, 's')}; its observers tell all; each start reads"
+            f"one every {_q(formulas.DAY / per, 's')}; its observers tell all; each start from nothing reads"
             f" {_q(cold, 'B')} from a relay: {_q(per * cold / formulas.DAY / machines, 'B/s')} a relay,"
             " mean of the day",
             f"{highest('restarts')}{over('restarts')} (the day's restarts in ten minutes)",
@@ -73,7 +74,7 @@
             f"{returning(zone)}; a relay's children {_q(children)},"
             f" then {_q(formulas.children_after_zone(model))}",
             f"{_q(high, 'B/s')} the mean member by the slope, over for {_q(span, 's')}, at most"
-            f" {_q(formulas.minute_mean(model), 'B/s')} as the mean of that minute;"
+            f" {_q(formulas.minute_mean(model, proxies), 'B/s')} as the mean of that minute;"
             f" {highest('zone')}{over('zone')}",
             f"{_q(clients(model, zone))} clients are cut off; the dead are in views for {gone}",
             "membership; a relay, by polls that stop",
@@ -82,8 +83,9 @@
             "the zone back at once",
             f"each of its proxies reads {_q(cold, 'B')}; from {number(machines)} machines that is"
             f" {_q(zone * cold / machines, 'B')} each",
-            f"{_q(pace, 'B/s')} a proxy for {_q(formulas.cold_time(model), 's')},"
-            f" {_q(zone * pace / machines, 'B/s')} a relay; as run: a relay's highest second"
+            f"{_q(pace, 'B/s')} a proxy for {_q(back, 's')},"
+            f" {_q(zone * pace / machines, 'B/s')} a relay of {_q(Figure(today.serve_bytes_per_s), 'B/s')}"
+            " that it serves with; as run: a relay's highest second"
             f" {_q(model.story('zone', 'relay_bytes_highest_s'), 'B/s')}, caught up after"
             f" {_q(model.story('zone', 'catch_up_s'), 's')}",
             "its proxies serve by what they kept, or do not yet serve",
@@ -94,7 +96,8 @@
             f"nothing to it; at contact {_q(missed)} changes are missing on an average day, {_q(most)} in a"
             f" storm: {_q(missed * change, 'B')} and {_q(most * change, 'B')} each",
             f"{_q(most * change / letter.in_force_s, 'B/s')} a proxy for {within} after a storm, to be in"
-            f" force in time; {highest('region')}{over('region')}",
+            f" force in time; more than {_q(Figure(today.delta_bytes), 'B')} comes by ranges, which takes"
+            f" {_q(most * change / pace, 's')} then; {highest('region')}{over('region')}",
             f"it goes on with the last good revision; stale without knowing it:"
             f" {_q(model.story('region', 'stale_unnoticed'))}",
             "each proxy of it by itself, the origin by zone",
@@ -152,18 +155,34 @@
     """The order in which mechanisms give out."""
     rows = []
     for gap in formulas.gaps(model):
-        state = "holds" if gap.holds else NOT_RUN if gap.factor.value is None else "gives out"
         rows.append([
             gap.mechanism, gap.breaks, factor_of(gap), number(gap.asked),
-            f"`{gap.sweep}`" if gap.sweep else "the program", state,
+            f"`{gap.sweep}`" if gap.sweep else "the program", state_of(model, gap),
         ])
-    heads = ["mechanism", "what gives out", "at N times today's fleet", "the letter asks", "rests on", ""]
+    heads = [
+        "mechanism", "what gives out", "at N times today's fleet", "the letter asks", "rests on", "state",
+    ]
     return table(heads, rows)
 
 
 def factor_of(gap: Gap) -> str:
     """The multiple of today's fleet at which it gives out."""
-    return _q(gap.factor) + ("" if gap.sweep else " (nothing carries it)")
+    if not gap.sweep:
+        return f"{_q(gap.factor)} (nothing carries it)"
+    if gap.factor.value == 0.0:
+        return f"below {plain(formulas.SMALLEST)} {gap.factor.sign.mark} (at any size)"
+    return _q(gap.factor)
+
+
+def state_of(model: Model, gap: Gap) -> str:
+    """Whether it gives out; of what was built since, how far that goes."""
+    if gap.sweep:
+        return "holds" if gap.holds else NOT_RUN if gap.factor.value is None else "gives out"
+    now = formulas.distribution_now(model)[0]
+    page = "now [distribution](distribution.md)"
+    if now.factor.value is None:
+        return f"{page}: {NOT_RUN}, or in part"
+    return f"{page}: to {factor_of(now)}, {number(now.asked)} asked, by {now.breaks}"
 
 
 def share_of(model: Model) -> str:
@@ -174,10 +193,11 @@
 def roadmap(model: Model) -> str:
     """The mechanisms in the order in which they are missing."""
     rows = [
-        [gap.mechanism, gap.breaks, factor_of(gap), number(gap.asked)]
+        [gap.mechanism, gap.breaks, factor_of(gap), number(gap.asked), state_of(model, gap)]
         for gap in formulas.first_missing(model)
     ]
-    return table(["mechanism", "what gives out first", "at N times today's fleet", "the letter asks"], rows)
+    heads = ["mechanism", "what gives out first", "at N times today's fleet", "the letter asks", "state"]
+    return table(heads, rows)
 
 
 def slopes(model: Model) -> str:
@@ -185,22 +205,22 @@
     rows = [_slope(model, model.measured.sweeps[name]) for name in sorted(model.measured.sweeps)]
     heads = [
         "sweep", "of", "sizes", "the letter's", "shape", "constant or factor", "slope or exponent", "unit",
-        "residual", "in floors: constant, slope", "run",
+        "residual", "in floors: constant, slope", "run", "what was measured",
     ]
     missing_ones = [name for name in EXPECTED if name not in model.measured.sweeps]
-    rows += [[f"`{name}`", *[UNKNOWN] * (len(heads) - 2), NOT_RUN] for name in missing_ones]
+    rows += [[f"`{name}`", *[UNKNOWN] * (len(heads) - 3), NOT_RUN, UNKNOWN] for name in missing_ones]
     return table(heads, rows)
 
 
 # What the formulas ask for.
 EXPECTED = (
     "catch_up_bytes", "catch_up_page_cpu", "change_latency_p99", "control_rest_bytes",
-    "core_floor_line", "core_line_cpu", "core_memory", "core_setup_cpu", "keyspace_memory",
-    "keyspace_put_cpu", "membership_memory", "membership_rest_bytes", "membership_rest_cpu",
-    "membership_zone_bytes", "membership_zone_gone", "membership_zone_span", "origin_rest_bytes",
-    "placement_cpu", "relay_memory", "relay_poll_cpu", "relay_push_cpu", "store_commit",
-    "subscriber_rest_bytes", "subscriber_rest_cpu", "table_change_cpu", "table_full_cpu",
-    "table_memory",
+    "core_floor_line", "core_floor_setup", "core_line_cpu", "core_memory", "core_setup_cpu",
+    "keyspace_memory", "keyspace_put_cpu", "membership_memory", "membership_rest_bytes",
+    "membership_rest_cpu", "membership_zone_bytes", "membership_zone_gone", "membership_zone_span",
+    "origin_rest_bytes", "placement_cpu", "placement_group_cpu", "relay_memory", "relay_poll_cpu",
+    "relay_push_cpu", "store_commit", "subscriber_rest_bytes", "subscriber_rest_cpu",
+    "table_change_cpu", "table_full_cpu", "table_memory", "table_parse_cpu",
 )
 
 
@@ -210,21 +230,23 @@
     span = f"{number(sizes[0])} to {number(sizes[-1])}, {number(len(sizes))} of them" if sizes else UNKNOWN
     asked = model.size_of(sweep)
     letter = UNKNOWN if asked is None else number(asked)
-    run = f"{sweep.sign.mark} {sweep.sign.value}"
+    if asked is not None and sizes and asked > sizes[-1]:
+        letter += f", {number(asked / sizes[-1])} times beyond"
+    run = [f"{sweep.sign.mark} {sweep.sign.value}", sweep.what]
     if fit is None:
         return [
             f"`{sweep.name}`", sweep.x, span, letter, sweep.shape.value, "no fit", "no fit", sweep.unit,
-            UNKNOWN, UNKNOWN, run,
+            UNKNOWN, UNKNOWN, *run,
         ]
     per = "" if sweep.shape is Shape.POWER else sweep.unit
     floors = UNKNOWN
     if sweep.floor_s and sweep.shape is Shape.LINE:
-        floors = f"{number(fit.constant / sweep.floor_s)}, {number(fit.slope / sweep.floor_s)}"
+        floors = f"{number(fit.constant / sweep.floor_s)}, {small(fit.slope / sweep.floor_s, 0.0)}"
     return [
         f"`{sweep.name}`", sweep.x, span, letter, sweep.shape.value,
         quantity(Figure(fit.constant, fit.constant_error), sweep.unit, signed=False),
-        small(fit.slope, fit.slope_error), f"{per} a size" if per else "exponent",
-        f"{number(fit.residual * 100.0)} %", floors, run,
+        small(fit.slope, fit.slope_error), f"{per} each" if per else "exponent",
+        f"{number(fit.residual * 100.0)} %", floors, *run,
     ]
 
 
@@ -232,7 +254,7 @@
     """A slope in powers of ten, as slopes are small."""
     if value == 0.0:
         return quantity(Figure(value, error), signed=False)
-    power = math.floor(math.log10(abs(value)) / 3.0) * 3
+    power = math.floor(round(math.log10(abs(value)), 9) / 3.0) * 3
     scaled = quantity(Figure(value / 10.0**power, error / 10.0**power), signed=False)
     return scaled if power == 0 else f"({scaled})e{power}"
 
@@ -240,7 +262,7 @@
 def letter(model: Model) -> str:
     """The letter's figures and today's."""
     rows = [
-        [name.replace("_", " "), number(float(getattr(model.plan.letter, name)), 6)]
+        [name.replace("_", " "), plain(getattr(model.plan.letter, name))]
         for name in model.plan.letter.__struct_fields__
     ]
     return table(["the letter's", ""], rows)
@@ -249,7 +271,7 @@
 def today(model: Model) -> str:
     """Today's fleet and promises."""
     rows = [
-        [name.replace("_", " "), number(float(getattr(model.plan.today, name)), 6)]
+        [name.replace("_", " "), plain(getattr(model.plan.today, name))]
         for name in model.plan.today.__struct_fields__
     ]
     return table(["today's", ""], rows)
@@ -260,7 +282,7 @@
     rows = []
     for name in model.plan.assumed.__struct_fields__:
         one: Assumption = getattr(model.plan.assumed, name)
-        value = f"{number(one.value, 6)} {one.unit} {Sign.ASSUMED.mark}"
+        value = f"{plain(one.value)} {one.unit} {Sign.ASSUMED.mark}"
         rows.append([name.replace("_", " "), value, one.why])
     return table(["assumed", "", "why"], rows)
 
@@ -268,7 +290,7 @@
 STORIES = ("rest", "rack", "zone", "region", "restarts", "storm", "control_killed", "loss")
 PROPERTIES = ("lost_changes", "older_after_newer", "half_in_force", "stale_unnoticed", "clients_lost")
 # By what a figure's name ends in, or else holds.
-UNITS = {"_bytes_per_s": "B/s", "_bytes_highest_s": "B/s", "_datagrams_highest_s": "/s", "_per_s": "/s",
+UNITS = {"_bytes_per_s": "B/s", "_bytes_highest_s": "B/s", "_highest_s": "/s", "_per_s": "/s",
          "_mb": "MB", "_ms": "ms", "_s": "s", "_percent": "%", "_bytes": "B"}
 
 
@@ -305,6 +327,8 @@
         return f"{words} {value}"
     if not isinstance(value, (int, float)):
         return ""
+    if isinstance(value, int) and not ending:
+        return f"{words} {plain(value)}"
     return f"{words} {quantity(Figure(float(value)), UNITS.get(ending, ''), signed=False)}"
 
 
@@ -312,19 +336,22 @@
     """A start from nothing."""
     letter = model.plan.letter
     budget = quantity(Figure(letter.control_bytes_per_s), "B/s", signed=False)
-    pace = _q(formulas.assumed(model.plan.assumed.catch_up_rate), "B/s")
+    pace = _q(Figure(model.plan.today.catch_up_bytes_per_s), "B/s")
+    all_at_once = formulas.cold_time_of(model, Figure(letter.proxies))
     page, held = model.at("catch_up_page_cpu", letter.shards), model.at("keyspace_memory", letter.shards)
-    taken = model.at("table_full_cpu", letter.shards)
+    taken = formulas.whole_list(model, letter.shards)
     read = "`catch_up_bytes`" if model.fit("catch_up_bytes") else "the plan"
     rows = [
         ["read from a relay", _q(formulas.cold_bytes(model), "B"), read],
         [f"that takes, at {pace}", _q(formulas.cold_time(model), "s"), read],
         [f"that takes, within {budget}", _q(formulas.cold_time_in_budget(model), "s"), read],
+        ["that takes, if all proxies start at once", _q(all_at_once, "s"), read],
         ["processor time of the proxy", _q(formulas.cold_cpu(model), "s"), "`keyspace_put_cpu`"],
         ["processor time of the relay, a page", _q(page, "s"), "`catch_up_page_cpu`"],
         ["memory of the keyspace", _q(held, "B"), "`keyspace_memory`"],
         ["discovery's list read whole, beside it", _q(formulas.list_bytes(model), "B"), "the plan"],
-        ["that list taken into the routing table", _q(taken, "s"), "`table_full_cpu`"],
+        ["that list read and taken into the routing table", _q(taken, "s"),
+         "`table_parse_cpu`, `table_full_cpu`"],
     ]
     return table([f"{number(letter.shards)} entries", "", "rests on"], rows)
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,6 +12,13 @@
 import pytest
 from msgspec.structs import replace
 
+from ironmill import pace
+from ironmill.distribution.log import DELTA_BYTES_MOST
+from ironmill.distribution.revision import REVISION_CHANGES_MOST
+from ironmill.distribution.timing import POLL_EVERY
+from ironmill.distribution.timing import Timing as DistributionTiming
+from ironmill.membership.rings import RINGS
+from ironmill.membership.timing import Timing as MembershipTiming
 from ironmill_lab.__main__ import main
 from ironmill_lab.capacity import data, formulas, page, plan, roles, tables
 from ironmill_lab.capacity.data import Fit, Measured, Shape, Sign, Sweep
@@ -262,6 +269,19 @@
     assert at.error == pytest.approx(3.0, rel=1e-6)  # 1,200 / 8 is further off than 1,200 / 12
 
 
+def test_a_mechanism_that_was_built_since_is_told_beside_what_was_missing() -> None:
+    first = formulas.gaps(model())[0]
+    assert tables.state_of(model(), first).endswith("not run, or in part")
+    found = full()
+    costs = {"keyspace_memory": 800.0, "relay_push_cpu": 1e-6, "relay_poll_cpu": 1e-6}
+    lines = {name: line(name, "entries", "B", 0.0, slope) for name, slope in costs.items()}
+    known = Model(replace(found.measured, sweeps=found.measured.sweeps | lines), found.plan)
+    now = formulas.distribution_now(known)
+    assert (now[0].sweep, now[0].holds) == ("keyspace_memory", False)
+    assert now[0].factor.value == pytest.approx(160_000.0 / 90.0)
+    assert tables.state_of(known, first).endswith("asked, by memory of the keyspace")
+
+
 def test_a_limit_that_is_over_from_the_start_or_never_reached() -> None:
     found = model(line("a", "members", "B/s", 7000.0, 1.0), line("b", "members", "B/s", 10.0, 0.0))
     assert formulas.breaks_at(lambda n: found.at("a", n), 6000.0, 200.0).value == 0.0
@@ -303,15 +323,18 @@
         connection_life=replace(given.assumed.connection_life, value=20.0),
         change=replace(given.assumed.change, value=200.0),
         entry=replace(given.assumed.entry, value=100.0),
-        catch_up_rate=replace(given.assumed.catch_up_rate, value=2000.0),
         process_share=replace(given.assumed.process_share, value=0.5),
         passes_a_line=replace(given.assumed.passes_a_line, value=2.0),
         return_window=replace(given.assumed.return_window, value=10.0),
     )
+    today = replace(
+        given.today, process_bytes=1e6, catch_up_bytes_per_s=2000.0, serve_bytes_per_s=3000.0,
+    )
     sweeps = [
         line("core_line_cpu", "connections", "s", 0.002, 0.0),
         line("core_setup_cpu", "connections", "s", 0.004, 0.0),
         line("core_floor_line", "connections", "s", 0.001, 0.0),
+        line("core_floor_setup", "connections", "s", 0.002, 0.0),
         line("core_memory", "connections", "B", 5e6, 7e3),
         line("relay_poll_cpu", "children", "s/s", 0.0, 0.01),
         line("relay_push_cpu", "children", "s", 0.001, 0.002),
@@ -320,7 +343,7 @@
         line("membership_rest_bytes", "members", "B/s", 40.0, 0.0),
     ]
     measured = Measured({one.name: one for one in sweeps}, {}, {})
-    return Model(measured, replace(given, letter=held, assumed=assumed))
+    return Model(measured, replace(given, letter=held, today=today, assumed=assumed))
 
 
 def test_the_data_path_by_hand() -> None:
@@ -332,8 +355,9 @@
     assert formulas.process_load(found, 1000.0).value == pytest.approx(0.7)
     assert formulas.connections_a_process(found).value == pytest.approx(1000.0 * 0.5 / 0.7)
     assert formulas.processes_a_proxy(found).value == 2.0
+    assert formulas.processes_range(found).value == 2.0
     assert formulas.data_path_cores(found).value == pytest.approx(0.7)
-    assert formulas.data_path_memory(found).value == pytest.approx(2 * 5e6 + 1000 * 7e3)
+    assert formulas.data_path_memory(found).value == pytest.approx(2 * (1e6 + 5e6) + 1000 * 7e3)
     assert formulas.data_path_memory(found).sign is Sign.ASSUMED
 
 
@@ -351,7 +375,7 @@
     assert formulas.children_after_zone(found).value == 3.0  # 6 proxies, 2 machines
     assert formulas.least_revisions(found).value == 1.0
     # 6 of 60 s at 1,000 B/s, the others at 40
-    assert formulas.minute_mean(found).value == pytest.approx((6.0 * 1000.0 + 54.0 * 40.0) / 60.0)
+    assert formulas.minute_mean(found, 10.0).value == pytest.approx((6.0 * 1000.0 + 54.0 * 40.0) / 60.0)
 
 
 def test_a_cold_start_by_hand() -> None:
@@ -360,6 +384,8 @@
     assert formulas.cold_bytes(found) == Figure(10_000.0, 0.0, Sign.ASSUMED)
     assert formulas.cold_time(found).value == 5.0
     assert formulas.cold_time_in_budget(found).value == 20.0
+    assert formulas.cold_time_of(found, Figure(4.0)).value == 5.0  # 3.3 s from each relay
+    assert formulas.cold_time_of(found, Figure(10.0)).value == pytest.approx(10 * 10_000 / 4 / 3000)
     assert formulas.cold_cpu(found).value is None
     sweeps = found.measured.sweeps | {
         "catch_up_bytes": line("catch_up_bytes", "entries", "B", 1000.0, 50.0),
@@ -394,7 +420,7 @@
     assert formulas.largest_one_to_one(found).value == pytest.approx((0.290 - rest) / 0.0005)
     late = small(delivery_ms=1.0)
     assert formulas.largest_one_to_one(late).value == 0.0  # never less than nobody
-    assert formulas.server_cores(found).value == pytest.approx(2.5)
+    assert formulas.server_cores(found).value == pytest.approx(5000 * 0.0005 + 500 * 0.002)
 
 
 def test_what_gives_out_first_is_named_first_and_what_holds_is_left_out() -> None:
@@ -441,7 +467,7 @@
     assert "| another |" in text and "something 12.5 ms" in text and "said so" in text
     assert "proxy in the highest second 4.32 KB/s" in text
     assert "catch up not run" in text
-    assert "`reload_cpu`" in text
+    assert "`reload_cpu`" in text and "members run 2,827" in text
 
 
 @pytest.mark.parametrize("missing_one", tables.EXPECTED)
@@ -465,14 +491,15 @@
 
 def test_slopes_are_told_in_multiples_of_the_floor_too() -> None:
     found = replace(line("core_line_cpu", "connections", "s", 2e-3, 1e-6), floor_s=1e-3)
-    assert "| 2, 0.00100 |" in tables.slopes(model(found))
+    assert "| 2, (1)e-3 |" in tables.slopes(model(found))
 
 
 def test_a_size_is_known_by_the_first_word_of_what_a_sweep_counts() -> None:
     found = model()
     sizes = {
-        "members": 2800.0, "entries": 640_000.0, "children of one relay": 2800.0 / 27.0, "relays": 26.0,
-        "rules": None,
+        "members": 2800.0, "standing entries": 640_000.0, "entries": 640_000.0, "relays": 26.0,
+        "children of one relay": 2800.0 / 27.0,
+        "caller rules": None,
     }
     for x, size in sizes.items():
         assert found.size_of(line("a", x, "s", 1.0, 0.0)) == size
@@ -497,6 +524,37 @@
         plan.load(wrong)
 
 
+def test_what_the_program_keeps_to_stands_in_the_plan() -> None:
+    today = plan.load().today
+    assert today.gone_within_s == MembershipTiming().gone_within
+    assert today.ping_every_s == MembershipTiming().ping_every
+    assert today.observers == RINGS
+    assert today.poll_every_s == POLL_EVERY
+    assert today.catch_up_bytes_per_s == DistributionTiming().catch_up_rate
+    assert today.serve_bytes_per_s == DistributionTiming().serve_rate
+    assert today.delta_bytes == DELTA_BYTES_MOST
+    assert today.revision_changes == REVISION_CHANGES_MOST
+    assert (today.call_spacing_s, today.call_pause_most_s, today.call_pause_least) == (
+        pace.SPACING, pace.PAUSE_MOST, pace.SHORTEST,
+    )
+
+
+def test_calls_of_discovery_by_hand() -> None:
+    found = model()
+    assert formulas.calls(found, 20.0).value == pytest.approx(10.0)  # each once in 2 s
+    assert formulas.calls(found, 200.0).value == pytest.approx(200.0 / 3.75)
+    assert formulas.calls(found, 200.0, 0.8).value == pytest.approx(200.0 / 3.0)
+
+
+def test_points_of_nothing_do_not_outweigh_the_others() -> None:
+    points = ((10.0, 0.0), (20.0, 0.0), (100.0, 5.0), (200.0, 10.0), (400.0, 20.0))
+    fit = replace(line("a", "members", "s", 0.0, 0.0), points=points).fit()
+    assert 0.04 < fit.slope < 0.06
+    flat = tuple((x, 0.0) for x, _ in points)
+    nothing = replace(line("a", "members", "s", 0.0, 0.0), points=flat).fit()
+    assert (nothing.constant, nothing.slope, nothing.residual) == (0.0, 0.0, 0.0)
+
+
 def test_fits_find_the_line_and_the_power_law_again() -> None:
     fit = line("a", "members", "s", 3.0, 0.25).fit()
     assert (fit.constant, fit.slope) == (pytest.approx(3.0), pytest.approx(0.25))
