--- a/ironmill_lab/capacity/figure.py
+++ b/ironmill_lab/capacity/figure.py
@@ -105,6 +105,8 @@
     places = _places(error, ERROR_DIGITS)
     if value:
         places = min(places, _places(value, DIGITS))
+    if value == round(value) and error == round(error):
+        return f"{_placed(value, min(places, 0))} ± {_placed(error, 0)}{after}{sign}"
     return f"{_placed(value, places)} ± {_placed(error, _places(error, ERROR_DIGITS))}{after}{sign}"
 
 
--- a/ironmill_lab/capacity/formulas.py
+++ b/ironmill_lab/capacity/formulas.py
@@ -28,7 +28,7 @@
     def __init__(self, measured: Measured, plan: Plan) -> None:
         self.measured = measured
         self.plan = plan
-        self._fits = {name: _fit(sweep) for name, sweep in measured.sweeps.items()}
+        self._fits = {name: fit_of(sweep) for name, sweep in measured.sweeps.items()}
 
     def fit(self, name: str) -> Fit | None:
         """A sweep's fit; None if it was not run, or cannot be fitted."""
@@ -58,7 +58,8 @@
         return next((sizes[word] for word in sweep.x.lower().split() if word in sizes), None)
 
 
-def _fit(sweep: Sweep) -> Fit | None:
+def fit_of(sweep: Sweep) -> Fit | None:
+    """Its fit; None where there are too few sizes, or nothing that its shape goes through."""
     if sweep.shape is Shape.POWER and min(min(point) for point in sweep.points) <= 0.0:
         return None
     try:
@@ -225,17 +226,17 @@
     return processes_a_proxy(model) * (model.at("core_memory", each) + model.plan.today.process_bytes)
 
 
-def placement_cores(model: Model, entries: float) -> Figure:
-    """Set-ups a proxy and second x a placement among so many entries."""
-    return set_ups_a_proxy(model) * model.at("placement_cpu", entries)
+def placement_cores(model: Model, entries: float, grouped: bool = False) -> Figure:
+    """Set-ups a proxy and second x a placement among so many entries, each of a group new here or without."""
+    return set_ups_a_proxy(model) * model.at("placement_group_cpu" if grouped else "placement_cpu", entries)
 
 
 # Control, a proxy.
 
 
-def change_cores(model: Model, rate: Figure, entries: float) -> Figure:
-    """Changes a second x a list that changes one entry among so many."""
-    return rate * model.at("table_change_cpu", entries)
+def change_cores(model: Model, rate: Figure, entries: float, live: bool = False) -> Figure:
+    """Changes a second x a list that changes one entry among so many, with live weights or without."""
+    return rate * model.at("table_change_live_cpu" if live else "table_change_cpu", entries)
 
 
 def control_memory(model: Model) -> dict[str, Figure]:
@@ -519,6 +520,7 @@
 
 CONFIGURATION = "distribution of configuration"
 FLAT_VIEW = "membership as one flat view"
+PLACEMENT = "placement over a flat list"
 FLAT_LIST = "routing table as one flat list"
 
 
@@ -555,11 +557,16 @@
                    lambda n: model.at("table_memory", n)),
         of_entries("table_change_cpu", letter.control_core_share, "a storm's changes reach the budget",
                    lambda n: change_cores(model, storm_rate(model), n)),
+        of_entries("table_change_live_cpu", letter.control_core_share,
+                   "a storm's changes reach the budget, with live weights",
+                   lambda n: change_cores(model, storm_rate(model), n, True)),
         of_entries("table_full_cpu", letter.delivery_ms / 1000.0,
                    "a whole list holds the process up for as long as a delivery may take",
                    lambda n: whole_list(model, n)),
-        of_entries("placement_cpu", cores, "placements alone take all that the proxy's processes may be busy",
-                   lambda n: placement_cores(model, n), "placement over a flat list"),
+        of_entries("placement_cpu", cores, "placements alone take all that the processes may be busy",
+                   lambda n: placement_cores(model, n), PLACEMENT),
+        of_entries("placement_group_cpu", cores, "placements alone do, each of a group new to the proxy",
+                   lambda n: placement_cores(model, n, True), PLACEMENT),
         Gap("one process a proxy", "its share of a core at the letter's deliveries and set-ups a connection",
             connections_a_process(model) / connections,
             (connections_a_proxy(model) / connections).value or 0.0, "core_setup_cpu"),
--- a/ironmill_lab/capacity/page.py
+++ b/ironmill_lab/capacity/page.py
@@ -58,6 +58,8 @@
         "proxies_shard": quantity(formulas.proxies_a_shard(model)),
         "listeners_proxy": quantity(formulas.listeners_a_proxy(model)),
         "server_cores": quantity(formulas.server_cores(model), "cores"),
+        "rough": tables.rough(model),
+        "rough_part": f"{number(tables.ROUGH * 100.0)} %",
         "calls_aim": quantity(Figure(1.0 / today.call_spacing_s)),
         "pause_most": quantity(Figure(today.call_pause_most_s), "s"),
         "calls_least": quantity(formulas.calls(model, letter.proxies), "/s"),
--- a/ironmill_lab/capacity/roles.py
+++ b/ironmill_lab/capacity/roles.py
@@ -97,7 +97,7 @@
     held = formulas.connections_a_proxy(model)
     alone = formulas.process_load(model, held.value or 0.0)
     cores, place = formulas.cores_allowed(model), formulas.placement_cores(model, letter.shards)
-    grouped = formulas.set_ups_a_proxy(model) * model.at("placement_group_cpu", letter.shards)
+    grouped, group = formulas.placement_cores(model, letter.shards, True), _gap(model, "placement_group_cpu")
     one, among = _gap(model, "core_setup_cpu"), _gap(model, "placement_cpu")
     return [
         Need("state: connections", held, "", PROCESSES),
@@ -113,7 +113,7 @@
         Need("processor time, placements among all shards in one list", place, "cores", TABLE, cores,
              ("placement_cpu",), among.factor, among.asked),
         Need("the same, of groups that are new to the proxy", grouped, "cores", TABLE, cores,
-             ("placement_group_cpu",)),
+             ("placement_group_cpu",), group.factor, group.asked),
         Need("memory, all its processes", formulas.data_path_memory(model), "B", PROCESSES, None,
              ("core_memory",)),
     ]
@@ -136,7 +136,7 @@
     memory, rest, core = letter.control_bytes, letter.control_bytes_per_s, letter.control_core_share
     both = model.at("membership_memory", proxies) + model.at("keyspace_memory", shards)
     flat, whole = _gap(model, "table_change_cpu"), _gap(model, "table_full_cpu")
-    minute = _gap(model, "membership_zone_span")
+    minute, live = _gap(model, "membership_zone_span"), _gap(model, "table_change_live_cpu")
     late = letter.delivery_ms / 1000.0
     return [
         Need("state: members, all known to each", Figure(proxies), "", MEMBERSHIP),
@@ -163,6 +163,8 @@
         Need("processor time, a storm's changes in the flat list",
              formulas.change_cores(model, storm, shards), "cores", TABLE, core, ("table_change_cpu",),
              flat.factor, flat.asked),
+        Need("the same, with live weights", formulas.change_cores(model, storm, shards, True), "cores",
+             TABLE, core, ("table_change_live_cpu",), live.factor, live.asked),
         Need("a whole list holds the process up for", formulas.whole_list(model, shards), "s", TABLE, late,
              ("table_parse_cpu", "table_full_cpu"), whole.factor, whole.asked),
         by("membership_memory", "memory, view of the members", "B", MEMBERSHIP, memory),
--- a/ironmill_lab/capacity/tables.py
+++ b/ironmill_lab/capacity/tables.py
@@ -4,10 +4,12 @@
 
 import math
 
+from msgspec import structs
+
 from ironmill_lab.capacity import formulas
-from ironmill_lab.capacity.data import Shape, Sign, Sweep
+from ironmill_lab.capacity.data import Fit, Shape, Sign, Sweep
 from ironmill_lab.capacity.figure import NOT_RUN, UNKNOWN, Figure, number, plain, quantity, table
-from ironmill_lab.capacity.formulas import Gap, Model
+from ironmill_lab.capacity.formulas import Gap, Model, fit_of
 from ironmill_lab.capacity.plan import Assumption
 
 
@@ -200,6 +202,9 @@
     return table(heads, rows)
 
 
+ROUGH = 0.1  # residual, in parts of the fit
+
+
 def slopes(model: Model) -> str:
     """Every sweep with its fit."""
     rows = [_slope(model, model.measured.sweeps[name]) for name in sorted(model.measured.sweeps)]
@@ -220,7 +225,7 @@
     "membership_rest_cpu", "membership_zone_bytes", "membership_zone_gone", "membership_zone_span",
     "origin_rest_bytes", "placement_cpu", "placement_group_cpu", "relay_memory", "relay_poll_cpu",
     "relay_push_cpu", "store_commit", "subscriber_rest_bytes", "subscriber_rest_cpu",
-    "table_change_cpu", "table_full_cpu", "table_memory", "table_parse_cpu",
+    "table_change_cpu", "table_change_live_cpu", "table_full_cpu", "table_memory", "table_parse_cpu",
 )
 
 
@@ -246,8 +251,28 @@
         f"`{sweep.name}`", sweep.x, span, letter, sweep.shape.value,
         quantity(Figure(fit.constant, fit.constant_error), sweep.unit, signed=False),
         small(fit.slope, fit.slope_error), f"{per} each" if per else "exponent",
-        f"{number(fit.residual * 100.0)} %", floors, *run,
+        f"{number(round(fit.residual * 100.0, 6))} %{_other(model, sweep, fit)}", floors, *run,
+    ]
+
+
+def _other(model: Model, sweep: Sweep, fit: Fit) -> str:
+    """The residual of the other shape, where that is less than this one's."""
+    shape = Shape.POWER if sweep.shape is Shape.LINE else Shape.LINE
+    other = fit_of(structs.replace(sweep, shape=shape))
+    if other is None or other.residual >= fit.residual:
+        return ""
+    asked = model.size_of(sweep)
+    there = "" if asked is None else f", {quantity(Figure(other.at(asked)), sweep.unit, signed=False)} there"
+    return f" ({shape.value}: {number(round(other.residual * 100.0, 6))} %{there})"
+
+
+def rough(model: Model) -> str:
+    """The sweeps whose fit is off by more than the least that the page warns of."""
+    found = [
+        name for name in sorted(model.measured.sweeps)
+        if (fit := model.fit(name)) is not None and fit.residual > ROUGH
     ]
+    return ", ".join(f"`{name}`" for name in found) or "none"
 
 
 def small(value: float, error: float) -> str:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -210,6 +210,7 @@
         (0.016, 0.0, "cores", "1.60 % of a core ="),
         (2.0, 0.25, "cores", "2.00 ± 0.25 cores ="),
         (0.0, 0.0, "B/s", "0 B/s ="),
+        (3.0, 1.0, "", "3 ± 1 ="),
         (5.0, 40.0, "", "5 ± 40 ="),
         (1234.0, 56.0, "", "1,230 ± 56 ="),
         (210e6, 0.0, "", "210 million ="),
@@ -494,6 +495,18 @@
     assert "| 2, (1)e-3 |" in tables.slopes(model(found))
 
 
+def test_the_other_shape_is_named_where_it_is_less_off_and_rough_fits_are_listed() -> None:
+    curved = replace(power("membership_zone_bytes", "members", "B/s", 100.0, 2.0), shape=Shape.LINE)
+    found = model(curved, line("membership_rest_bytes", "members", "B/s", 1000.0, 1.0))
+    rows = tables.slopes(found).split("\n")
+    (row,) = [one for one in rows if "`membership_zone_bytes`" in one]
+    assert "(power: 0 %, 784 MB/s there)" in row  # 100 x the square of 2,800
+    (row,) = [one for one in rows if "`membership_rest_bytes`" in one]
+    assert "power" not in row
+    assert tables.rough(found) == "`membership_zone_bytes`"
+    assert tables.rough(model()) == "none"
+
+
 def test_a_size_is_known_by_the_first_word_of_what_a_sweep_counts() -> None:
     found = model()
     sizes = {
