--- a/ironmill_lab/faults/world.py
+++ b/ironmill_lab/faults/world.py
@@ -150,7 +150,7 @@
         for node in self.nodes.values():
             if node.member is not None:
                 node.member.adopt(facts, self.now)
-        self.events.clear()
+                self.events.clear()  # of each at once: a million of them in a world of a thousand
 
     def kill(self, name: str) -> None:
         """End the process without a word."""
