--- /dev/null
+++ b/ironmill_lab/capacity/sweep_core.py
@@ -0,0 +1,114 @@
+"""Sweeps of a standing connection's costs: a real proxy, and the bare epoll floor beside it, in turns.
+
+Four processes: this one with the clients, the emulated neighbours, the proxy, the floor. Both subjects grow
+from size to size; at each they are measured in turns, by the code of ``measure core``.
+"""
+
+from __future__ import annotations
+
+import resource
+import statistics
+import tempfile
+from collections.abc import Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+from ironmill.scheduler import Scheduler
+from ironmill_lab.capacity.data import Sign, Sweep
+from ironmill_lab.capacity.runs import fill
+from ironmill_lab.fleet import play
+from ironmill_lab.measures.core import HOSTS, LIMIT, Bench, Figures, make_subject
+from ironmill_lab.processes import Neighbours
+
+SIZES = (500, 1000, 2000, 3000, 4000, 5000)
+SIZES_QUICK = (500, 1000, 1500, 2000, 2500)
+LINES, LINES_QUICK = 2000, 400  # a round
+SETUPS, SETUPS_QUICK = 300, 80
+ROUNDS, ROUNDS_QUICK = 7, 5
+FLOOR_SIZE = 200  # connections, where nothing but the floor is wanted
+KINDS = ("proxy", "epoll")
+
+
+def _sweep(name: str, what: str, unit: str = "s") -> Sweep:
+    return Sweep(name, what, "standing connections", unit, Sign.REAL, ())
+
+
+SWEEPS = (
+    _sweep("core_line_cpu", "CPU of the proxy's process for a line that a client sends and gets back."),
+    _sweep("core_setup_cpu", "CPU of the proxy's process for a connection from its first line to its close."),
+    _sweep("core_memory", "Resident bytes of the proxy's process beyond its start, for all connections "
+           "together.", "B"),
+    _sweep("core_floor_line", "CPU for the same line of a bare loop on select.epoll, in the same run."),
+    _sweep("core_floor_setup", "CPU for the same set-up of a bare loop on select.epoll, in the same run."),
+)
+NAMES = tuple(sweep.name for sweep in SWEEPS)
+
+
+@contextmanager
+def _descriptors() -> Iterator[int]:
+    """As many as the system lets this process open; how many that is."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    try:
+        yield min(hard if hard > 0 else 1 << 20, 1 << 20)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def ladder(
+    sizes: Sequence[int], lines: int, setups: int, rounds: int, kinds: Sequence[str] = KINDS
+) -> dict[str, list[Figures]]:
+    """Figures of each kind at each size; ``lines`` and ``setups`` are those of one round."""
+    found: dict[str, list[Figures]] = {kind: [] for kind in kinds}
+    with tempfile.TemporaryDirectory() as name, ExitStack() as stack:
+        room = stack.enter_context(_descriptors())
+        folder = Path(name)
+        neighbours = stack.enter_context(Neighbours(folder, HOSTS))
+        scheduler, benches = Scheduler(), dict[str, Bench]()
+        for kind in kinds:
+            subject = make_subject(f"{kind}-0", neighbours, folder, room, "epoll", None)
+            stack.enter_context(subject.process)
+            benches[kind] = Bench(scheduler, subject, Figures(0))
+
+        def story() -> None:
+            for size in sorted(sizes):
+                for kind, bench in benches.items():
+                    found[kind].append(bench.go_on(size))
+                for _ in range(rounds):  # in turns: a machine that is noisy is so for both
+                    for bench in benches.values():
+                        bench.round(lines, setups)
+            for bench in benches.values():
+                bench.close()
+
+        play(scheduler, story, LIMIT)
+    return found
+
+
+def measure(quick: bool, sizes: Sequence[int] = ()) -> dict[str, Sweep]:
+    """All sweeps of the core; ``floor_s`` is the median of the floor's lines at all sizes."""
+    sizes = sizes or (SIZES_QUICK if quick else SIZES)
+    if quick:
+        found = ladder(sizes, LINES_QUICK, SETUPS_QUICK, ROUNDS_QUICK)
+    else:
+        found = ladder(sizes, LINES, SETUPS, ROUNDS)
+    results = [
+        (proxy.size, {
+            "core_line_cpu": proxy.line_ms / 1000.0, "core_setup_cpu": proxy.setup_ms / 1000.0,
+            "core_memory": proxy.kib * 1024.0 * proxy.size,
+            "core_floor_line": epoll.line_ms / 1000.0, "core_floor_setup": epoll.setup_ms / 1000.0,
+        })
+        for proxy, epoll in zip(found["proxy"], found["epoll"], strict=True)
+    ]
+    return fill(SWEEPS, results)
+
+
+def floor(quick: bool) -> float:
+    """Seconds of CPU that a line costs the bare epoll floor now."""
+    lines = LINES_QUICK if quick else LINES
+    (figures,) = ladder((FLOOR_SIZE,), lines, 0, ROUNDS, ("epoll",))["epoll"]
+    return figures.line_ms / 1000.0
+
+
+def floor_of(sweep: Sweep) -> float:
+    """The floor's seconds a line: the median of all sizes."""
+    return statistics.median(cost for _, cost in sweep.points)
--- a/ironmill_lab/measures/core.py
+++ b/ironmill_lab/measures/core.py
@@ -79,6 +79,14 @@
         grown = self._subject.process.usage().resident - self._at_start
         self.figures.kib = grown / 1024.0 / self.figures.size
 
+    def go_on(self, size: int) -> Figures:
+        """Grow to a larger size, with figures of its own; the resident memory still counts from the start."""
+        self.figures = Figures(size)
+        self._costs = {"line": [], "setup": []}
+        self._system = {"line": 0.0, "setup": 0.0}
+        self.grow()
+        return self.figures
+
     def round(self, lines: int, setups: int) -> None:
         """One round of each; the figures are the medians of the rounds so far."""
         self._cost("line", lines, self._ask_many)
@@ -160,7 +168,7 @@
                 scheduler = Scheduler()
                 benches = []
                 for size in sizes:
-                    subject = _subject(f"{kind}-{size}", neighbours, folder, room, poller, program)
+                    subject = make_subject(f"{kind}-{size}", neighbours, folder, room, poller, program)
                     stack.enter_context(subject.process)
                     benches.append(Bench(scheduler, subject, Figures(size)))
 
@@ -192,9 +200,10 @@
     }
 
 
-def _subject(
+def make_subject(
     name: str, neighbours: Neighbours, folder: Path, room: int, poller: str, program: Path | None
 ) -> Subject:
+    """A process of the kind that the name begins with, ready; ``room`` is how many sockets a proxy has."""
     kind = name.partition("-")[0]
     if kind == "proxy":
         config = proxy_config(
--- /dev/null
+++ b/tests/test_sweeps.py
@@ -0,0 +1,200 @@
+"""The sweeps at small sizes, their fits and their data; members that share what is equal."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Sequence
+from pathlib import Path
+
+import pytest
+from msgspec import structs
+
+from ironmill_lab.capacity import data, sweep_core, sweep_membership, sweep_table, sweeps
+from ironmill_lab.capacity.data import Measured, Shape, Sign, Sweep
+from ironmill_lab.capacity.runs import Runs, fill
+from ironmill_lab.faults.schedule import Fault
+from ironmill_lab.faults.shared import Shared
+from ironmill_lab.faults.world import World
+
+SIZES = (10, 20, 30, 40, 50)
+
+
+def made(points: Sequence[tuple[float, float]], shape: Shape = Shape.LINE, name: str = "one") -> Sweep:
+    return Sweep(name, "What is told.", "things", "s", Sign.VIRTUAL, tuple(points), shape)
+
+
+@pytest.mark.parametrize("runs", sweep_table.RUNS, ids=lambda runs: runs.run.__name__)
+def test_each_sweep_of_a_process_has_a_positive_cost_at_each_size(runs: Runs) -> None:
+    found = runs.alone(quick=True, sizes=SIZES)
+    assert set(found) == {sweep.name for sweep in runs.sweeps}
+    for sweep in found.values():
+        assert [size for size, _ in sweep.points] == list(SIZES)
+        assert all(cost > 0.0 for _, cost in sweep.points)
+        assert sweep.floor_s is None, "no floor was measured beside it"
+
+
+def test_placements_of_the_sweep_are_placed_and_end() -> None:
+    for live in (False, True):
+        held = sweep_table.Held(100, 1, live)
+        for _ in range(100):
+            held.place(True)
+        assert sum(held.balancer.live_counts().values()) == 10
+
+
+def test_a_table_of_more_entries_holds_more() -> None:
+    (sweep,) = sweep_table.RUNS[3].alone(quick=True, sizes=(100, 200, 300, 400, 500)).values()
+    assert sweep.name == "table_memory"
+    fit = sweep.fit()
+    assert 200.0 < fit.slope < 5000.0, "bytes an entry"
+
+
+def test_members_at_rest_send_and_compute() -> None:
+    found = sweep_membership.RUNS[1].alone(quick=True, sizes=SIZES)
+    for sweep in found.values():
+        assert [size for size, _ in sweep.points] == list(SIZES)
+        assert all(cost > 0.0 for _, cost in sweep.points)
+    # An observer pings six others each 0.6 s and answers as many: whatever the size, from ten members on.
+    assert all(500.0 < cost < 2000.0 for _, cost in found["membership_rest_bytes"].points)
+
+
+def test_all_of_a_killed_zone_are_found_gone() -> None:
+    costs = sweep_membership.zone(33, True, 1)
+    assert 2.0 < costs["membership_zone_gone"] < sweep_membership.WATCH
+    assert costs["membership_zone_bytes"] > 1000.0
+    assert costs["membership_zone_span"] >= 0.0
+    assert costs == sweep_membership.zone(33, True, 1), "by the seed alone"
+
+
+def test_what_is_not_found_is_left_out_and_told() -> None:
+    results = [(size, {"one": math.inf if size == 30 else 1.0}) for size in SIZES]
+    sweep = fill((made(()),), results)["one"]
+    assert [size for size, _ in sweep.points] == [10, 20, 40, 50]
+    assert sweep.what.endswith("Not found, and left out, at 30.")
+
+
+def test_a_view_of_more_members_holds_more() -> None:
+    (sweep,) = sweep_membership.RUNS[2].alone(quick=True, sizes=(20, 40, 60, 80, 100)).values()
+    assert 500.0 < sweep.fit().slope < 4000.0, "bytes a member"
+
+
+def test_the_core_is_measured_beside_its_floor() -> None:
+    sizes = (5, 10)
+    found = sweep_core.ladder(sizes, 20, 8, 1)
+    assert {kind: [one.size for one in figures] for kind, figures in found.items()} == {
+        "proxy": [5, 10], "epoll": [5, 10],
+    }
+    for figures in found.values():
+        assert all(one.line_ms > 0.0 and one.setup_ms > 0.0 for one in figures)
+
+
+def test_each_sweep_has_a_name_of_its_own_and_enough_sizes() -> None:
+    assert len(set(sweeps.NAMES)) == len(sweeps.NAMES)
+    for runs in sweeps.RUNS:
+        assert len(set(runs.sizes)) >= data.POINTS_LEAST
+        assert len(set(runs.quick)) >= data.POINTS_LEAST
+        for quick in (False, True):
+            assert {size for size, _ in runs.tasks(quick, 1)} == set(runs.quick if quick else runs.sizes)
+    assert len(set(sweep_core.SIZES)) >= data.POINTS_LEAST
+    assert len(set(sweep_core.SIZES_QUICK)) >= data.POINTS_LEAST
+
+
+def test_only_seconds_of_cpu_are_told_in_times_of_the_floor() -> None:
+    for name in sweeps.NAMES:
+        sweep = made((), name=name)
+        floors = ("core_floor_line", "core_floor_setup")
+        assert sweeps.timed(sweep) is (name.endswith("_cpu") or name in floors)
+
+
+def test_a_known_line_is_recovered_with_its_errors() -> None:
+    rng = random.Random(3)
+    clean = made([(float(x), 5.0 + 0.25 * x) for x in (10, 100, 1000, 10_000, 100_000)]).fit()
+    assert clean.constant == pytest.approx(5.0)
+    assert clean.slope == pytest.approx(0.25)
+    assert clean.residual < 1e-9
+    noisy = made(
+        [(float(x), (5.0 + 0.25 * x) * rng.uniform(0.95, 1.05)) for x in (10, 100, 1000, 10_000) * 5]
+        + [(100_000.0, 25_005.0)]
+    ).fit()
+    assert abs(noisy.slope - 0.25) < 4.0 * noisy.slope_error < 0.05
+    assert abs(noisy.constant - 5.0) < 4.0 * noisy.constant_error < 2.0
+    assert 0.01 < noisy.residual < 0.05
+
+
+def test_a_known_power_law_is_recovered() -> None:
+    fit = made([(float(x), 3.0 * x**0.7) for x in (10, 30, 100, 300, 1000)], Shape.POWER).fit()
+    assert fit.constant == pytest.approx(3.0)
+    assert fit.slope == pytest.approx(0.7)
+    assert fit.at(2800.0) == pytest.approx(3.0 * 2800.0**0.7)
+
+
+@pytest.mark.parametrize("shape", Shape)
+def test_fewer_than_five_sizes_are_no_sweep(shape: Shape) -> None:
+    points = [(float(x), 1.0 + x) for x in (1, 2, 3, 4) * 3]
+    with pytest.raises(ValueError, match="5 sizes"):
+        made(points, shape).fit()
+    assert made([*points, (5.0, 6.0)], shape).fit().slope > 0.0
+
+
+def test_data_comes_back_as_written_and_merging_keeps_the_others(tmp_path: Path) -> None:
+    path = tmp_path / "measured.json"
+    old = Measured({"a": made([(1.0, 2.0)]), "b": made([(1.0, 3.0)])}, {"story": {"x": None}}, {"cores": 8})
+    assert data.merge(old, path) == old
+    data.save(old, path)
+    assert data.load(path) == old
+    new = Measured({"b": made([(1.0, 4.0)], Shape.POWER)}, {}, {})
+    merged = data.merge(new, path)
+    assert merged.sweeps == {"a": old.sweeps["a"], "b": new.sweeps["b"]}
+    assert merged.stories == old.stories
+    assert merged.machine == {"cores": 8}
+    data.save(merged, path)
+    assert data.load(path) == merged
+
+
+def test_members_that_share_hold_one_object_of_each_fact() -> None:
+    world = World(12, seed=3, make=Shared())
+    world.settle()
+    world.run(3.0)
+    world.kill("p00003")
+    world.run(15.0)
+    views = [{fact.card.name: fact for fact in member.view.facts.values()} for member in world.running()]
+    assert world.agree()
+    for name, fact in views[0].items():
+        assert all(view[name] is fact for view in views[1:])
+    places = [member.view.rings._places for member in world.running()]
+    assert all(place[name] is places[0][name] for place in places for name in places[0])
+
+
+@pytest.mark.parametrize("seed", (1, 2))
+def test_sharing_alters_neither_a_view_nor_a_datagram(seed: int) -> None:
+    faults = [
+        Fault("loss", 2.0, 8.0, share=0.2), Fault("kill", 3.0, names=("p00004", "p00005")),
+        Fault("pause", 4.0, 8.0, names=("p00007",)), Fault("start", 14.0, names=("p00004",)),
+    ]
+    worlds = [World(15, faults, seed), World(15, faults, seed, make=Shared())]
+    for world in worlds:
+        world.settle()
+    for until in (2.5, 6.0, 10.0, 14.0, 20.0):
+        for world in worlds:
+            world.run(until)
+        alone, shared = worlds
+        assert shared.datagrams == alone.datagrams
+        assert shared.events == alone.events
+        for one, other in zip(alone.running(), shared.running(), strict=True):
+            assert one.members() == other.members()
+            assert one.sent_bytes == other.sent_bytes
+
+
+def test_what_is_shared_is_equal_and_the_newest() -> None:
+    shared = Shared()
+    world = World(3)
+    world.settle()
+    fact = world.running()[0].members()[0]
+    copy = structs.replace(fact)
+    assert copy is not fact
+    assert shared.fact(fact) is fact
+    assert shared.fact(copy) is fact
+    newer = structs.replace(fact, flips=fact.flips + 1)
+    assert shared.fact(newer) is newer
+    assert shared.fact(fact) is fact, "one that lags keeps what it has"
+    assert shared.fact(structs.replace(newer)) is newer
