Hollow proxies on loopback sockets, many in a process, beside real control machines

Cause: distribution was run on sockets with eleven processes at the most; 2,800 do not fit one machine whole. The status of distribution tells sent_bytes, so that the cost of control can be read from real processes. Commands on standard input are answered by one function for emulate and hollow.

--- a/ironmill/distribution/node.py
+++ b/ironmill/distribution/node.py
@@ -346,6 +346,7 @@
             "held": str(self.replica.held), "in_force": str(self.replica.in_force), "stale": False,
             "age_s": 0.0, "parent": "", "entries": self.replica.keyspace.count,
             "superseded": self.publisher.stopped, "dropped": dict(self.dropped),
+            "sent_bytes": self.sent_bytes,
             "ahead": None if self._ahead is None else str(self._ahead),
             "confirmed": str(self._everywhere),
         }
@@ -436,5 +437,5 @@
         "parent": "" if subscriber.parent is None else subscriber.parent.place.name,
         "catching_up": subscriber.catching_up is not None, "entries": replica.keyspace.count,
         "refused": None if refusal is None else {"key": refusal.key, "reason": refusal.reason},
-        "dropped": dict(node.dropped),
+        "dropped": dict(node.dropped), "sent_bytes": node.sent_bytes,
     }
--- a/ironmill_lab/__main__.py
+++ b/ironmill_lab/__main__.py
@@ -7,13 +7,14 @@
   ironmill_lab measure NAME [--quick] [--poller=NAME] [--program=DIR]
   ironmill_lab capacity [--check] [--plots]
   ironmill_lab emulate [--hosts=N]
+  ironmill_lab hollow --settings=FILE [--first=N] [--proxies=N]
   ironmill_lab floor KIND --target=HOST:PORT
   ironmill_lab (-h | --help)
 
 Options:
   --stay         Keep the demonstration up until it is interrupted.
   --clients=N    How many clients the demonstration has [default: 60].
-  --settings=FILE  Operators' settings for the demonstration's proxy.
+  --settings=FILE  Operators' settings: of the demonstration's proxy, or of all hollow proxies.
   --token=TOKEN  What the one client of call shows; - reads it from standard input.
   --class=NAME   What it asks for [default: index-sync].
   --tls=FILE     It speaks TLS, and trusts the authorities in this file.
@@ -24,6 +25,8 @@
   --check        Only say whether docs/CAPACITY.md is what data and formulas give; status 1 if not.
   --plots        Also draw the plots beside it.
   --hosts=N      How many servers are emulated [default: 6].
+  --first=N      The number of the first hollow proxy [default: 0].
+  --proxies=N    How many hollow proxies there are in this process [default: 140].
   --target=HOST:PORT  Where a floor sends all lines on to.
   -h --help      Show this text.
 
@@ -50,6 +53,10 @@
         from ironmill_lab import emulate
 
         return emulate.run(int(words["--hosts"]))
+    if words["hollow"]:
+        from ironmill_lab.faults import hollow
+
+        return hollow.run(words["--settings"], int(words["--first"]), int(words["--proxies"]))
     if words["floor"]:
         from ironmill_lab import floors
 
--- a/ironmill_lab/emulate.py
+++ b/ironmill_lab/emulate.py
@@ -8,7 +8,7 @@
 
 import os
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import orjson
@@ -62,28 +62,36 @@
     """Serve until standard input ends; the exit status."""
     scheduler = Scheduler()
     neighbourhood = Neighbourhood(scheduler, hosts)
-    commands: dict[str, Callable[..., object]] = {
-        "told": lambda: None, "add": neighbourhood.add, "drain": neighbourhood.drain,
-    }
-
-    def listen() -> None:
-        descriptor, held = sys.stdin.fileno(), b""
-        os.set_blocking(descriptor, False)
-        try:
-            while True:
-                scheduler.wait(descriptor, READ)
-                data = os.read(descriptor, CHUNK)
-                if not data:
-                    break
-                *lines, held = (held + data).split(b"\n")
-                for line in lines:
-                    word, *args = orjson.loads(line)
-                    commands[word](*args)
-                    sys.stdout.buffer.write(orjson.dumps(neighbourhood.told()) + b"\n")
-                    sys.stdout.buffer.flush()
-        finally:
-            scheduler.stop()  # also after a failure: who asked must not wait for ever
-
-    scheduler.spawn(listen)
+
+    def told_after(action: Callable[..., object]) -> Callable[..., object]:
+        def answer(*args: object) -> object:
+            action(*args)
+            return neighbourhood.told()
+
+        return answer
+
+    scheduler.spawn(answer_commands, scheduler, {
+        "told": neighbourhood.told, "add": told_after(neighbourhood.add),
+        "drain": told_after(neighbourhood.drain),
+    })
     scheduler.run()
     return 0
+
+
+def answer_commands(scheduler: Scheduler, commands: Mapping[str, Callable[..., object]]) -> None:
+    """A task: read a command a line from standard input and write its answer, until that ends; then stop."""
+    descriptor, held = sys.stdin.fileno(), b""
+    os.set_blocking(descriptor, False)
+    try:
+        while True:
+            scheduler.wait(descriptor, READ)
+            data = os.read(descriptor, CHUNK)
+            if not data:
+                break
+            *lines, held = (held + data).split(b"\n")
+            for line in lines:
+                word, *args = orjson.loads(line)
+                sys.stdout.buffer.write(orjson.dumps(commands[word](*args)) + b"\n")
+                sys.stdout.buffer.flush()
+    finally:
+        scheduler.stop()  # also after a failure: who asked must not wait for ever
--- a/ironmill_lab/processes.py
+++ b/ironmill_lab/processes.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from collections.abc import Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from types import TracebackType
@@ -70,7 +71,8 @@
         """Signal it and wait for its end; the exit status."""
         for pipe in (self.popen.stdin, self.popen.stdout):
             if pipe is not None:
-                pipe.close()
+                with suppress(BrokenPipeError):  # what was written to one that has ended is still there
+                    pipe.close()
         if self.popen.poll() is None:
             self.popen.send_signal(number)
         try:
@@ -80,26 +82,33 @@
             return self.popen.wait()
 
 
-class Neighbours(Process):
-    """The process of ``ironmill_lab.emulate``."""
-
-    def __init__(self, folder: Path, hosts: int) -> None:
-        super().__init__(["-m", "ironmill_lab", "emulate", f"--hosts={hosts}"], folder, "neighbours")
-        self.discovery: tuple[str, int] = tuple(self.ask("told")["discovery"])
+class CommandedProcess(Process):
+    """A process of the laboratory that reads commands (``emulate.answer_commands``)."""
 
     def ask(self, word: str, *args: object) -> dict[str, Any]:
-        """Give a command and wait for the answer, which tells what all servers have seen."""
+        """Give a command and wait for the answer. RuntimeError if the process has ended."""
         assert self.popen.stdin is not None
         assert self.popen.stdout is not None
-        self.popen.stdin.write(orjson.dumps([word, *args]) + b"\n")
-        self.popen.stdin.flush()
-        line = self.popen.stdout.readline()
+        try:
+            self.popen.stdin.write(orjson.dumps([word, *args]) + b"\n")
+            self.popen.stdin.flush()
+            line = self.popen.stdout.readline()
+        except BrokenPipeError:
+            line = b""
         if not line:
-            raise RuntimeError(f"the emulated neighbours ended: {self.log.read_text()[-500:]}")
+            raise RuntimeError(f"{self.log.stem} has ended: {self.log.read_text()[-500:]}")
         found: dict[str, Any] = orjson.loads(line)
         return found
 
 
+class Neighbours(CommandedProcess):
+    """The process of ``ironmill_lab.emulate``; each answer tells what all servers have seen."""
+
+    def __init__(self, folder: Path, hosts: int) -> None:
+        super().__init__(["-m", "ironmill_lab", "emulate", f"--hosts={hosts}"], folder, "neighbours")
+        self.discovery: tuple[str, int] = tuple(self.ask("told")["discovery"])
+
+
 class ProxyProcess(Process):
     """One proxy, started; up once ``wait_ready`` returns."""
 
