Distribution: a proxy that changes its relay is in one sum at least

Cause: the old relay forgot a child before the new one's sum with it had reached the origin. Change: a Word says which poll was counted; a relay tells others that a child has moved, or answers where it is, only once its own parent is known to have a sum with that child.

--- a/ironmill/distribution/link.py
+++ b/ironmill/distribution/link.py
@@ -29,13 +29,13 @@
         self._count = 0
 
     def send(self, to: str, address: Address, message: Message) -> int:
-        """Put a message on its way; its size in bytes."""
+        """Put a message on its way; its count."""
         self._count += 1
         data = self.codec.write(self.card, to, self._count, message)
         self.sent_bytes += len(data)
         self.sent_datagrams += 1
         self.out.append((address, data))
-        return len(data)
+        return self._count
 
     def flush(self) -> list[Datagram]:
         """What is to be sent now."""
--- a/ironmill/distribution/node.py
+++ b/ironmill/distribution/node.py
@@ -221,12 +221,14 @@
 
     def _tick(self) -> None:
         self.subscriber.tick()
+        self.publisher.summed_at = self.subscriber.summed_at
         self.publisher.tick()
         self._pass_on()
 
     def _take(self, envelope: Envelope[Message], source: Address) -> None:
         if isinstance(envelope.message, Word | Part | Digests | Page):
             _of_child(self.subscriber, envelope)
+            self.publisher.summed_at = self.subscriber.summed_at
             self._pass_on()
         else:
             self.publisher.term, self.publisher.age = self.subscriber.term, self.subscriber.age
--- a/ironmill/distribution/publisher.py
+++ b/ironmill/distribution/publisher.py
@@ -82,6 +82,7 @@
     summary: Summary | None = None
     stale: bool = False
     attached: int = 0
+    since: float = 0.0  # when it came here
     seen_at: float = 0.0
     at_newest: float = 0.0  # when it was last known to have the newest in force
     pushed: Position | None = None  # a delta that is out, by its target
@@ -116,6 +117,9 @@
         self._budget = PARTS_A_TICK
         self._cuts: dict[Position, Cut] = {}
         self._cuts_head = START
+        # When the newest sum was made that the own parent is known to have. Another relay may forget a child
+        # only once it is counted here: else the origin would miss it in both sums for a moment.
+        self.summed_at = math.inf
         self._moved: dict[tuple[str, str], tuple[Moved, float, int]] = {}  # by peer and child
         self._gone: dict[str, tuple[int, int, float]] = {}  # children that are elsewhere now, and since when
         self._sought: list[Missed] = []  # one datagram of them goes with a tick
@@ -180,7 +184,8 @@
 
     def _tell_moved(self) -> None:
         for key, (moved, at, tries) in list(self._moved.items()):
-            if self._link.now - at < MOVED_EVERY:
+            child = self.children.get(key[1])
+            if self._link.now - at < MOVED_EVERY or (child is not None and not self._summed(child)):
                 continue
             if tries >= MOVED_TRIES:
                 del self._moved[key]
@@ -189,6 +194,9 @@
             place = self._peers[key[0]]
             self._link.send(place.name, place.address, moved)
 
+    def _summed(self, child: Child) -> bool:
+        return child.since < self.summed_at
+
     # Polls
 
     def poll(self, envelope: Envelope[Message], poll: Poll, source: Address) -> None:
@@ -197,7 +205,7 @@
         proven = link.tokens.proves(name, envelope.incarnation, poll.echo, now)
         if not proven or poll.probe:
             # Nothing is kept of whom nothing is proven of, and it is told no more than it has sent.
-            self._word(name, envelope.incarnation, source, poll)
+            self._word(envelope, source, poll, 0)
             return
         child = self._child(envelope, poll, source)
         child.count = envelope.count
@@ -212,7 +220,7 @@
             link.told("child-reachable", {"child": name})
         if child.in_force >= self._replica.held:
             child.at_newest = now
-        self._word(name, envelope.incarnation, source, poll)
+        self._word(envelope, source, poll, envelope.count)
         if child.pushed is not None and child.held >= child.pushed:
             child.pushed = None
         if child.pushed is None:
@@ -232,6 +240,7 @@
             if envelope.count <= child.count:
                 raise DroppedError("replayed")
             if poll.attached > child.attached:
+                child.since = self._link.now
                 self._tell_previous(envelope, poll)
             return child
         if child is None and len(self.children) >= CHILDREN_MOST:
@@ -240,6 +249,7 @@
                 raise DroppedError("full")
             del self.children[lost]
         child = Child(name, envelope.incarnation, source, poll.zone, at_newest=self._link.now)
+        child.since = self._link.now
         self.children[name] = child
         self._tell_previous(envelope, poll)
         self._link.told("child", {"child": name, "held": str(poll.held)})
@@ -251,13 +261,14 @@
                 moved = Moved(envelope.sender, envelope.incarnation, poll.attached)
                 self._moved[peer, envelope.sender] = moved, -math.inf, 0
 
-    def _word(self, name: str, incarnation: int, source: Address, poll: Poll) -> None:
-        replica = self._replica
+    def _word(self, envelope: Envelope[Message], source: Address, poll: Poll, taken: int) -> None:
+        replica, name, incarnation = self._replica, envelope.sender, envelope.incarnation
         assert replica.log is not None
         token = self._link.tokens.give(name, incarnation, self._link.now)
         reaches = replica.log.reaches(poll.held)
         word = Word(
-            poll.token, token, replica.lineage, self.term, replica.held, self.age, reaches
+            poll.token, token, replica.lineage, self.term, replica.held, self.age, reaches,
+            taken,
         )
         self._link.send(name, source, word)
 
@@ -289,7 +300,9 @@
             raise DroppedError("stranger")
         for missed in sought.children:
             child = self.children.get(missed.name)
-            if child is not None and child.reachable and child.incarnation >= missed.incarnation:
+            if child is None or child.incarnation < missed.incarnation:
+                continue
+            if child.reachable and self._summed(child):
                 moved = Moved(child.name, child.incarnation, child.attached)
                 self._link.send(envelope.sender, source, moved)
 
--- a/ironmill/distribution/subscriber.py
+++ b/ironmill/distribution/subscriber.py
@@ -48,6 +48,7 @@
 from ironmill.membership.envelope import DroppedError, Tokens
 
 PREVIOUS_TOLD = 5.0  # seconds after a change of parent
+SUMS_KEPT = 16  # polls with sums that may be answered yet
 FRESH_BY = 1.0  # seconds: another parent is taken for its fresher word only if it is that much fresher
 
 
@@ -109,6 +110,8 @@
         self.term = 0
         self.fresh_at = -math.inf
         self.stale = False
+        self.summed_at = -math.inf  # when the newest sum was made that the parent has
+        self._sums: dict[int, float] = {}  # when they were made, by the count of the poll; the last ones
         self.moved = False  # by a delta or a whole keyspace since the last look
         self._attached = 0
         self._previous: list[str] = []
@@ -254,7 +257,11 @@
             target, missing, None if probe else refusal,
             None if probe or self._summary is None else self._summary(),
         )
-        self._link.send(contact.place.name, contact.place.address, poll)
+        count = self._link.send(contact.place.name, contact.place.address, poll)
+        if poll.summary is not None:
+            self._sums[count] = now
+            if len(self._sums) > SUMS_KEPT:
+                del self._sums[next(iter(self._sums))]
 
     def _acknowledge(self) -> None:
         """Tell the parent what is held now, without waiting for the next poll."""
@@ -287,6 +294,7 @@
             contact.fresh_at = max(contact.fresh_at, now - word.age / 1000.0)
         self.term = max(self.term, word.term)
         if contact is self.parent:
+            self.summed_at = max(self.summed_at, self._sums.pop(word.taken, -math.inf))
             self._poll_at = max(self._poll_at, self._polled_at + POLL_EVERY)
             contact.failures = 0
             if contact.fresh_at > self.fresh_at:
@@ -337,6 +345,8 @@
         self._attached += 1
         self._attached_at = self._link.now
         self._assembly = None
+        self._sums.clear()
+        self.summed_at = -math.inf
         if self._catch_up is not None:
             self._catch_up.restart()
         contact.unanswered = 0
--- a/ironmill/distribution/wire.py
+++ b/ironmill/distribution/wire.py
@@ -101,6 +101,7 @@
     head: Position
     age: int
     reaches: bool  # the log reaches back to what the child holds
+    taken: int  # the count of the poll, if the child was counted by it; 0 if it proved nothing
 
 
 class Part(Struct, frozen=True, array_like=True, tag=12, forbid_unknown_fields=True):
@@ -252,7 +253,10 @@
         case Poll():
             return _poll_fits(message)
         case Word():
-            return _number(message.lineage) and _number(message.term) and _position(message.head)
+            return (
+                _number(message.lineage) and _number(message.term) and _position(message.head)
+                and _number(message.taken)
+            )
         case Part():
             return (
                 _number(message.lineage) and _number(message.term) and 0 < message.count <= PARTS_MOST
--- a/ironmill_lab/capacity/stories.py
+++ b/ironmill_lab/capacity/stories.py
@@ -17,8 +17,8 @@
 
 from msgspec import structs
 
-from ironmill.distribution.node import NotOriginError, Origin
-from ironmill.distribution.revision import Changes, StoreError
+from ironmill.distribution.node import Origin
+from ironmill.distribution.revision import Changes, NotOriginError, StoreError
 from ironmill_lab.faults.fleet_watch import BUDGET, Second
 from ironmill_lab.faults.fleet_world import FleetWorld, Plan
 from ironmill_lab.faults.schedule import Fault, both_ways
--- a/tests/test_distribution_everywhere.py
+++ b/tests/test_distribution_everywhere.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from ironmill_lab.faults.fleet_world import FleetWorld, Plan
+import pytest
+from msgspec import structs
+
+from ironmill.distribution.node import Leaf
+from ironmill_lab.faults.fleet_world import FleetWorld, HollowConsumer, Plan
 from ironmill_lab.faults.schedule import Fault, both_ways
 
 PLAN = Plan(proxies=22, control=5, entries=50)
@@ -52,3 +56,26 @@
     assert position in world.watch.everywhere
     assert world.watch.false_everywhere == 0
     assert world.origin.status(world.now)["laggards"] == []
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_a_proxy_that_changes_its_parent_is_in_one_sum_at_least(seed: int) -> None:
+    """Its old relay forgot it before the origin had the new one's sum: a refused change was everywhere."""
+    world = FleetWorld(structs.replace(PLAN, seed=seed))
+    refusing = [process for process in world.proxies if process.zone == "z1"][:1]
+    for process in refusing:
+        process.consumer = HollowConsumer(("bad/",))
+    world.settle(0.0)
+    world.kill("c01")
+    world.run(8.0)
+    world.start("c01")
+    position = world.push({"bad/1": b"x"})
+    world.run(60.0)  # they go home meanwhile, each in its own time
+    homes = {node.subscriber.parent.place.name for one in refusing if isinstance(node := one.node, Leaf)
+             and node.subscriber.parent is not None}
+    assert homes == {"c01"}
+    assert position not in world.watch.everywhere
+    assert world.watch.false_everywhere == 0
+    world.push({"bad/1": None})
+    world.run(world.now + 3.0)
+    assert world.disk.position in world.watch.everywhere
