Distribution: answers while catching up are charged with what they are

Cause: each was charged to the parent's rate as 700 or 1,100 bytes. Change: the answer's own size is charged; one is given while there is credit for the largest.

--- a/ironmill/distribution/publisher.py
+++ b/ironmill/distribution/publisher.py
@@ -57,7 +57,7 @@
     Tally,
     Word,
 )
-from ironmill.membership.envelope import Address, DroppedError, Envelope
+from ironmill.membership.envelope import DATAGRAM_MOST, Address, DroppedError, Envelope
 
 CHILDREN_MOST = 4096  # guards memory; a machine of the plan has 104, three times that when others are down
 PARTS_A_TICK = 1024  # datagrams of pushes in a tenth of a second; what is left goes with the next
@@ -392,7 +392,7 @@
 
     def ask(self, envelope: Envelope[Message], ask: Ask, source: Address) -> None:
         """The digests of a range's parts."""
-        self._serve(envelope, ask.echo, 700)
+        self._serve(envelope, ask.echo)
         replica = self._replica
         level = ask.level + 1
         prefixes = children_of(ask.level, ask.prefix) if level else range(1 << LEVEL_BITS[0])
@@ -400,26 +400,30 @@
         answer = Digests(
             ask.token, replica.lineage, replica.held, replica.keyspace.digest, ask.level, ask.prefix, sums
         )
-        self._link.send(envelope.sender, source, answer)
+        self._answer(envelope, source, answer)
 
     def fetch(self, envelope: Envelope[Message], fetch: Fetch, source: Address) -> None:
         """Entries of leaves."""
-        self._serve(envelope, fetch.echo, 1100)
+        self._serve(envelope, fetch.echo)
         replica = self._replica
         body, leaf, after = replica.keyspace.page(fetch.leaf, fetch.after, fetch.until, BODY_MOST)
         page = Page(fetch.token, replica.lineage, fetch.number, replica.held, leaf, after != "", body)
-        self._link.send(envelope.sender, source, page)
+        self._answer(envelope, source, page)
+
+    def _answer(self, envelope: Envelope[Message], source: Address, answer: Digests | Page) -> None:
+        before = self._link.sent_bytes
+        self._link.send(envelope.sender, source, answer)
+        self._serve_credit -= self._link.sent_bytes - before
 
-    def _serve(self, envelope: Envelope[Message], echo: int, size: int) -> None:
+    def _serve(self, envelope: Envelope[Message], echo: int) -> None:
         """DroppedError where nothing is proven, or the rate of answers is used up: it is asked again."""
         now, rate = self._link.now, self._timing.serve_rate
         if not self._link.tokens.proves(envelope.sender, envelope.incarnation, echo, now):
             raise DroppedError("unproven")
         self._serve_credit = min(rate * SERVE_BURST, self._serve_credit + (now - self._serve_at) * rate)
         self._serve_at = now
-        if self._serve_credit < size:
+        if self._serve_credit < DATAGRAM_MOST:
             raise DroppedError("busy")
-        self._serve_credit -= size
 
     # The sum
 
