Distribution: a store that fails does not end the origin while the fleet is ahead of it

Cause: the store was told of the fleet's epoch from within receive, and asked for its fence from within tick; what it raised ended the process. Seen by the model with random schedules and a disk that fails. Result: the test fails without it.

--- a/ironmill/distribution/node.py
+++ b/ironmill/distribution/node.py
@@ -266,6 +266,8 @@
         self.replica.digest = self.replica.keyspace.digest
         self.publisher = Publisher(self.link, self.replica, timing, relays)
         self.publisher.term, self.publisher.age = store.epoch, 0
+        self._unobserved = 0
+        self._failing = False
         self._missing = MissingList(timing.forget_after)
         self._everywhere = START
         self._pushed_at: dict[Position, float] = {}
@@ -361,8 +363,7 @@
         self.publisher.tick()
         if self.link.now >= self._look_at and not self.publisher.stopped:
             self._look_at = self.link.now + STORE_CHECK
-            if self._store.fenced():
-                self._stop()
+            self._look_at_store()
         reachable = {
             child.name: child.incarnation for child in self.publisher.children.values() if child.reachable
         }
@@ -376,7 +377,7 @@
                 raise DroppedError("lineage")
             if message.held > self.replica.held and self._ahead != message.held:
                 self._ahead = max(message.held, self._ahead or START)
-                self._store.observe(message.held.epoch)
+                self._unobserved = self._ahead.epoch  # the store is told with the next look at it
                 self.link.told("fleet-ahead", {"fleet": str(message.held), "store": str(self.replica.held)})
         _of_parent(self.publisher, envelope, source)
         if isinstance(message, Sought):
@@ -384,6 +385,20 @@
         elif isinstance(message, Moved):
             self._missing.found(message.name, message.incarnation, message.attached)
 
+    def _look_at_store(self) -> None:
+        """Whether another writer has it, and what it has to know; one that fails is told once."""
+        try:
+            if self._store.fenced():
+                self._stop()
+            elif self._unobserved:
+                self._store.observe(self._unobserved)
+                self._unobserved = 0
+            self._failing = False
+        except StoreError as why:
+            if not self._failing:
+                self._failing = True
+                self.link.told("store-failing", {"reason": str(why)})
+
     def _look_everywhere(self) -> None:
         lowest = _everywhere(self.summary(0), self.replica.held)
         if lowest is not None and lowest > self._everywhere:
--- /dev/null
+++ b/tests/test_distribution_store_trouble.py
@@ -0,0 +1,81 @@
+"""An origin whose store fails: it goes on answering, and refuses changes clearly."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from ironmill.distribution.revision import Position, StoreError
+from ironmill_lab.faults.fleet_world import FleetWorld, Plan
+
+PLAN = Plan(proxies=4, control=3, entries=20)
+
+
+def settled() -> tuple[FleetWorld, list[tuple[str, dict[str, Any]]]]:
+    world = FleetWorld(PLAN)
+    events: list[tuple[str, dict[str, Any]]] = []
+    inner = world.watch.told
+
+    def told(process: Any, what: str, fields: dict[str, Any]) -> None:
+        inner(process, what, fields)
+        if process.role == "origin":
+            events.append((what, fields))
+
+    world.watch.told = told  # type: ignore[method-assign]
+    world.settle()
+    return world, events
+
+
+def test_a_fleet_that_is_ahead_of_a_failing_store_does_not_end_the_origin() -> None:
+    """The store was told from within ``receive``, and what it raised ended the process."""
+    world, events = settled()
+    world.push({"a": b"1"})
+    world.run(world.now + 1.0)
+    world.kill("origin")
+    world.disk.position = Position(1, 1)  # an older copy of the store was put back
+    world.disk.epoch = 0
+    del world.disk.values["a"]
+    world.disk.trouble = "fails"
+    world.start("origin")
+    world.run(world.now + 5.0)
+    assert [what for what, _ in events].count("store-failing") == 1
+    with pytest.raises(StoreError):
+        world.push({"b": b"1"})
+    world.disk.trouble = ""
+    world.run(world.now + 2.0)
+    assert world.disk.observed == 1
+
+
+def test_an_origin_with_a_higher_epoch_writes_though_the_fleet_is_ahead_of_its_store() -> None:
+    """It told to start again for a higher epoch, and refused again after each start, for ever."""
+    world, _ = settled()
+    world.push({"a": b"1"})
+    world.run(world.now + 1.0)
+    world.kill("origin")
+    world.disk.position = Position(1, 1)
+    del world.disk.values["a"]
+    world.start("origin")
+    world.run(world.now + 5.0)
+    world.push({"b": b"1"})
+    world.run(world.now + 3.0)
+    assert world.disk.position > Position(1, 2)
+    assert {one.in_force for name, one in world.watch.seen.items() if name.startswith("p")} == {
+        world.disk.position
+    }
+
+
+@pytest.mark.parametrize("trouble", ["fails", "full"])
+def test_a_change_that_the_store_does_not_take_is_in_force_nowhere(trouble: Any) -> None:
+    world, _ = settled()
+    before = world.disk.position
+    world.disk.trouble = trouble
+    with pytest.raises(StoreError):
+        world.push({"a": b"1"})
+    world.run(world.now + 2.0)
+    assert {one.in_force for name, one in world.watch.seen.items() if name.startswith("p")} == {before}
+    world.disk.trouble = ""
+    position = world.push({"a": b"1"})
+    world.run(world.now + 2.0)
+    assert position in world.watch.everywhere
+    assert world.watch.broken == []
