Distribution: an origin with a higher epoch writes though the fleet is ahead of its store

Cause: a fleet whose position was further on blocked every push, also after a restart had taken a higher epoch, whose revisions are newer than anything the fleet has. An older copy of the store could never be written again. Change: only positions of the own epoch or a higher one block. Result: the test fails without it; all proxies come to the new origin's state.

--- a/ironmill/distribution/node.py
+++ b/ironmill/distribution/node.py
@@ -375,7 +375,8 @@
         if isinstance(message, Poll):
             if message.lineage not in (0, self.replica.lineage):
                 raise DroppedError("lineage")
-            if message.held > self.replica.held and self._ahead != message.held:
+            ahead = message.held > self.replica.held and message.held.epoch >= self._store.epoch
+            if ahead and self._ahead != message.held:
                 self._ahead = max(message.held, self._ahead or START)
                 self._unobserved = self._ahead.epoch  # the store is told with the next look at it
                 self.link.told("fleet-ahead", {"fleet": str(message.held), "store": str(self.replica.held)})
