Tests: random schedules of distribution against a model of one ordered history

Kills, orderly ends, restarts, pauses, cuts one way and both, loss, doubled and late datagrams, refused revisions, reverts, a failing or full disk and writers that take the store over. Each process's keys and what its consumer was told are compared with the history at each step; after healing all are at the head within 6 s, everywhere within 20 s.

--- /dev/null
+++ b/tests/test_distribution_model.py
@@ -0,0 +1,273 @@
+"""Random schedules against a model: one ordered history, each process a prefix of it by whole revisions."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from ironmill.distribution.node import Leaf, Origin, Relay
+from ironmill.distribution.revision import Changes, NotOriginError, Position, Refusal, StoreError
+from ironmill_lab.faults.fleet_world import FleetWorld, Plan, Process
+from ironmill_lab.faults.schedule import Fault, both_ways
+
+PLAN = Plan(proxies=6, control=4, regions=2, zones=3, entries=20)
+RELAYS = ("c01", "c02", "c03")
+PROXIES = tuple(f"p{at:05d}" for at in range(6))
+CONTROL = ("origin", "origin-b", *RELAYS)
+EVERYONE = (*CONTROL, *PROXIES)
+REFUSING = ("p00001", "p00004")  # what begins with bad/
+BEGIN, END = 6.0, 22.0  # of what goes wrong
+AT_HEAD_WITHIN = 6.0  # after all is well again, though all may have just been started
+EVERYWHERE_WITHIN = 20.0
+
+
+class Recorder:
+    """A consumer that knows what it was told, all of it."""
+
+    looked_up: tuple[str, ...] = ()
+
+    def __init__(self, refuses: bool) -> None:
+        self.values: dict[str, bytes] = {}
+        self._refuses = refuses
+
+    def check(self, changes: Mapping[str, bytes | None]) -> Refusal | None:
+        for key, value in changes.items():
+            if self._refuses and key.startswith("bad/") and value is not None:
+                return Refusal(key, "bad")
+        return None
+
+    def apply(self, changes: Mapping[str, bytes | None]) -> None:
+        assert self.check(changes) is None
+        for key, value in changes.items():
+            if value is None:
+                self.values.pop(key, None)
+            else:
+                self.values[key] = value
+
+
+class Model(FleetWorld):
+    """The world, and the one history."""
+
+    def __init__(self, faults: list[Fault]) -> None:
+        super().__init__(PLAN, faults)
+        self.states: dict[Position, dict[str, bytes]] = {}
+        self.writer = "origin"
+        self.pushes = self.refusals = 0
+        self.reverted = 0
+        inner = self.watch.told
+
+        def told(process: Process, what: str, fields: dict[str, Any]) -> None:
+            inner(process, what, fields)
+            if what == "in-force":
+                self.judge(process, Position(fields["epoch"], fields["number"]))
+
+        self.watch.told = told  # type: ignore[method-assign]
+
+    def begin(self) -> None:
+        self.settle(0.0)
+        self.states[self.disk.position] = dict(self.disk.values)
+        for process in self.proxies:
+            assert isinstance(process.consumer, Recorder)
+            process.consumer.values = dict(self.disk.values)
+        self.run(BEGIN)
+
+    def start(self, name: str) -> None:
+        process = self.processes[name]
+        if process.role == "subscriber":
+            process.consumer = Recorder(name in REFUSING)
+        super().start(name)
+        if process.role == "origin":
+            self.writer = name
+
+    def judge(self, process: Process, position: Position) -> None:
+        """What has come into force is the history as of that position, whole."""
+        assert isinstance(process.node, Leaf | Relay | Origin)
+        if process.role != "origin":
+            state = self.states[position]
+            assert dict(process.node.replica.keyspace.entries()) == state, process.name
+            if isinstance(process.consumer, Recorder):
+                assert process.consumer.values == state, process.name
+
+    def change(self, changes: Changes, ticket: str = "") -> None:
+        """By the one that writes now, or by the one before, who must not."""
+        for name in ("origin", "origin-b"):
+            node = self.processes[name].node
+            if not isinstance(node, Origin) or self.now < self.processes[name].paused_until:
+                continue
+            before = self.disk.position
+            after = {k: v for k, v in (self.disk.values | changes).items() if v is not None}
+            self.states[Position(self.disk.epoch, before.number + 1)] = after
+            try:
+                position = self.push(changes, ticket, name)
+            except (StoreError, NotOriginError):
+                self.refusals += 1
+                del self.states[Position(self.disk.epoch, before.number + 1)]
+                assert self.disk.position == before
+                continue
+            assert name == self.writer, "a writer that is fenced has written"
+            assert position > before
+            self.pushes += 1
+            return
+
+    def revert(self, back: int) -> None:
+        node = self.processes[self.writer].node
+        if isinstance(node, Origin) and not node.publisher.stopped:
+            try:
+                changes = node.undo(max(1, self.disk.position.number - back))
+            except StoreError:
+                return
+            if changes:
+                self.reverted += 1
+                self.change(changes)
+
+    def trouble(self, kind: Any) -> None:
+        self.disk.trouble = kind
+
+    def take_over(self) -> None:
+        """Another process opens the store, beside the one that has it."""
+        other = "origin-b" if self.writer == "origin" else "origin"
+        self.start(other)
+
+    def heal(self) -> None:
+        """All run, one of them writes, nothing is cut."""
+        self.disk.trouble = ""
+        for name in (*RELAYS, *PROXIES):
+            if self.processes[name].node is None:
+                self.start(name)
+        writer = self.processes[self.writer].node
+        if not isinstance(writer, Origin) or writer.publisher.stopped or self.fleet_is_ahead(writer):
+            self.start(self.writer)
+
+    @staticmethod
+    def fleet_is_ahead(origin: Origin) -> bool:
+        return origin.status(0.0)["ahead"] is not None
+
+    def told_by_origin(self) -> Any:
+        """For whoever reads a failure."""
+        node = self.processes[self.writer].node
+        return node.status(self.now) if isinstance(node, Origin) else node
+
+    def at_head(self) -> bool:
+        head = self.disk.position
+        return all(
+            isinstance(node := self.processes[name].node, Leaf | Relay) and node.replica.in_force == head
+            for name in (*RELAYS, *PROXIES)
+        )
+
+
+Act = tuple[float, str, Any]
+_AT = st.floats(BEGIN, END - 2.0).map(lambda at: round(at, 2))
+_LAST = st.floats(0.2, 7.0).map(lambda at: round(at, 2))
+_KEYS = st.sampled_from(["shard/000001", "shard/000002", "a", "b", "bad/1", "bad/2"])
+_CHANGES = st.dictionaries(_KEYS, st.none() | st.binary(max_size=3), min_size=1, max_size=4)
+_SOME = st.lists(st.sampled_from(EVERYONE), min_size=1, max_size=5, unique=True).map(tuple)
+_ACTS: st.SearchStrategy[Act] = st.one_of(
+    st.tuples(_AT, st.just("change"), _CHANGES),
+    st.tuples(_AT, st.just("change"), _CHANGES),
+    st.tuples(_AT, st.just("large"), st.integers(5, 60)),
+    st.tuples(_AT, st.just("revert"), st.integers(1, 4)),
+    st.tuples(_AT, st.just("restart"), st.tuples(st.sampled_from(EVERYONE), _LAST, st.booleans())),
+    st.tuples(_AT, st.just("restart"), st.tuples(st.sampled_from(EVERYONE), _LAST, st.booleans())),
+    st.tuples(_AT, st.just("pause"), st.tuples(st.sampled_from(EVERYONE), _LAST)),
+    st.tuples(_AT, st.just("cut"), st.tuples(_SOME, _SOME, _LAST, st.booleans())),
+    st.tuples(_AT, st.just("cut"), st.tuples(_SOME, _SOME, _LAST, st.booleans())),
+    st.tuples(_AT, st.just("lossy"), st.tuples(_LAST, st.floats(0.05, 0.4), st.booleans())),
+    st.tuples(_AT, st.just("trouble"), st.tuples(st.sampled_from(["fails", "full"]), _LAST)),
+    st.tuples(_AT, st.just("take over"), st.none()),
+)
+
+
+def faults_of(acts: list[Act]) -> list[Fault]:
+    """What links do."""
+    faults: list[Fault] = []
+    for at, kind, what in acts:
+        if kind == "cut":
+            sources, targets, length, both = what
+            end = min(END, at + length)
+            one_way = [Fault("cut", at, end, sources, targets)]
+            faults += both_ways(at, end, sources, targets) if both else one_way
+        elif kind == "lossy":
+            length, share, doubled = what
+            end = min(END, at + length)
+            faults.append(Fault("loss", at, end, share=share))
+            if doubled:
+                faults.append(Fault("duplicate", at, end, share=share, most=0.5))
+                faults.append(Fault("delay", at, end, share=share, most=0.5))
+    return faults
+
+
+def arrange(world: Model, acts: list[Act]) -> None:
+    """Everything else."""
+    for at, kind, what in acts:
+        if kind == "change":
+            world.at(at, world.change, what)
+        elif kind == "large":
+            changes = {f"large/{one:03d}": bytes([one]) * 400 for one in range(what)}
+            world.at(at, world.change, changes)
+        elif kind == "revert":
+            world.at(at, world.revert, what)
+        elif kind == "restart":
+            name, length, orderly = what
+            if name == "origin-b":
+                continue  # it runs once it has taken over
+            world.at(at, world.leave if orderly else world.kill, name)
+            world.at(min(END, at + length), revive, world, name)
+        elif kind == "pause":
+            name, length = what
+            if world.processes[name].role != "origin" or name == "origin":
+                world.at(at, world.pause, name, min(END, at + length))
+        elif kind == "trouble":
+            trouble, length = what
+            world.at(at, world.trouble, trouble)
+            world.at(min(END, at + length), world.trouble, "")
+        elif kind == "take over":
+            world.at(at, world.take_over)
+
+
+def revive(world: Model, name: str) -> None:
+    if world.processes[name].node is None:
+        world.start(name)
+
+
+def play(acts: list[Act]) -> Model:
+    """The schedule, and then all is well: everything that was promised is looked at."""
+    acts = sorted(acts, key=lambda act: act[0])
+    world = Model(faults_of(acts))
+    world.begin()
+    arrange(world, acts)
+    world.run(END + 0.1)
+    world.heal()
+    last: Changes = {key: None for key in world.disk.values if key.startswith("bad/")}
+    last["end"] = b"%d" % world.pushes
+    world.run(world.now + 1.0)
+    world.change(last, "the last one")
+    head = world.disk.position
+    assert head in world.states
+    healed = world.now
+    while not world.at_head() and world.now < healed + AT_HEAD_WITHIN:
+        world.run(world.now + 0.1)
+    assert world.at_head(), world.told_by_origin()
+    while head not in world.watch.everywhere and world.now < healed + EVERYWHERE_WITHIN:
+        world.run(world.now + 0.1)
+    assert head in world.watch.everywhere, world.told_by_origin()
+    for name in (*RELAYS, *PROXIES):
+        node = world.processes[name].node
+        assert isinstance(node, Leaf | Relay)
+        assert dict(node.replica.keyspace.entries()) == world.states[head]
+    watch = world.watch
+    assert (watch.older_after_newer, watch.half_in_force, watch.stale_unnoticed, watch.false_everywhere) == (
+        0, 0, 0, 0
+    ), watch.broken
+    return world
+
+
+@settings(
+    max_examples=120, derandomize=True, deadline=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+@given(st.lists(_ACTS, min_size=4, max_size=24))
+def test_whatever_happens_each_process_is_a_prefix_of_one_history(acts: list[Act]) -> None:
+    play(acts)
