Distribution: neighbouring ranges are fetched as one

Cause: a cold start asked for 128 ranges one by one, however few keys there were in them. Change: neighbours that differ are joined, and cut into as many runs as questions may be out.

--- a/ironmill/distribution/catch_up.py
+++ b/ironmill/distribution/catch_up.py
@@ -37,7 +37,7 @@
 from ironmill.distribution.wire import Ask, Digests, Fetch, Page
 
 WINDOW = 16  # questions that are out
-RUN_MOST = 512  # leaves of one run, so that several are fetched side by side
+RUN_MOST = LEAVES // WINDOW  # leaves of one run, so that several are fetched side by side
 QUESTION_BYTES = 1100.0  # what an answer is reckoned as, before it has come
 RETRY, RETRY_MOST = 0.15, 1.2
 OVERLAY_BYTES_MOST = 1 << 20
@@ -128,27 +128,30 @@
             return
         level = answer.level + 1
         prefixes = children_of(answer.level, answer.prefix) if level else range(1 << LEVEL_BITS[0])
-        leaves: list[int] = []
+        wanted: list[range] = []  # leaves, in order
         for prefix, digest in zip(prefixes, answer.sums, strict=True):
             mine = self.staged.sum(level, prefix)
             if mine == digest:
                 continue
             if level == len(LEVEL_BITS) - 1:
-                leaves.append(prefix)
+                wanted.append(range(prefix, prefix + 1))
             elif mine == 0 or digest == 0:  # one of the two is empty: all of it differs
                 span = leaves_of(level, prefix)
                 if digest == 0:
                     for leaf in span:
                         self.staged.replace(leaf, b"")
                 else:
-                    self._want(span.start, span.stop)
+                    wanted.append(span)
             else:
                 self._queue.append((Ask(0, 0, level, prefix), None))
-        start = 0
-        for at in range(1, len(leaves) + 1):
-            if at == len(leaves) or leaves[at] != leaves[at - 1] + 1:
-                self._want(leaves[start], leaves[at - 1] + 1)
-                start = at
+        joined: list[range] = []  # neighbours are fetched as one: of few entries many leaves fill one page
+        for span in wanted:
+            if joined and joined[-1].stop == span.start:
+                joined[-1] = range(joined[-1].start, span.stop)
+            else:
+                joined.append(span)
+        for span in joined:
+            self._want(span.start, span.stop)
 
     def page(self, answer: Page) -> bool:
         """Entries came; ValueError if they are not in form. False for an answer to nothing that was asked."""
--- a/tests/test_distribution_catch_up.py
+++ b/tests/test_distribution_catch_up.py
@@ -19,3 +19,22 @@
     world.run(world.now + 10.0)
     assert len(world.watch.catch_ups) == 40
     assert max(world.watch.catch_ups) < 3.0
+
+
+def received_by_a_cold_start(regions: int, entries: int) -> tuple[int, int]:
+    """Bytes of datagrams, and of the keys and values in them."""
+    plan = Plan(proxies=1, control=2, regions=regions, entries=entries, standby=False)
+    world = FleetWorld(plan)
+    world.settle()
+    world.kill("p00000")
+    world.run(world.now + 2.0)
+    world.start("p00000")
+    world.run(world.now + 5.0)
+    assert len(world.watch.catch_ups) == 1
+    return world.processes["p00000"].received_bytes, world.origin.replica.keyspace.size
+
+
+def test_a_cold_start_of_few_keys_takes_few_answers() -> None:
+    """128 ranges were asked for one by one, though all keys fit into a dozen datagrams."""
+    received, size = received_by_a_cold_start(1, 300)
+    assert received < 1.6 * size
