--- a/ironmill_lab/measures/core.py
+++ b/ironmill_lab/measures/core.py
@@ -160,7 +160,7 @@
                 scheduler = Scheduler()
                 benches = []
                 for size in sizes:
-                    subject = _subject(f"{kind}-{size}", neighbours, folder, room, poller, program)
+                    subject = make_subject(f"{kind}-{size}", neighbours, folder, room, poller, program)
                     stack.enter_context(subject.process)
                     benches.append(Bench(scheduler, subject, Figures(size)))
 
@@ -192,9 +192,10 @@
     }
 
 
-def _subject(
+def make_subject(
     name: str, neighbours: Neighbours, folder: Path, room: int, poller: str, program: Path | None
 ) -> Subject:
+    """A process of the kind that the name begins with, ready; ``room`` is how many sockets a proxy has."""
     kind = name.partition("-")[0]
     if kind == "proxy":
         config = proxy_config(
