--- a/ironmill_lab/capacity/sweeps.py
+++ b/ironmill_lab/capacity/sweeps.py
@@ -16,11 +16,12 @@
 
 from msgspec import structs
 
-from ironmill_lab.capacity import data, sweep_core, sweep_membership, sweep_table
+from ironmill_lab.capacity import data, sweep_core, sweep_distribution, sweep_membership, sweep_table
 from ironmill_lab.capacity.data import Measured, Sweep
 from ironmill_lab.capacity.runs import Runs
 
-RUNS: tuple[Runs, ...] = (*sweep_membership.RUNS, *sweep_table.RUNS)  # the longest first
+# The longest first.
+RUNS: tuple[Runs, ...] = (*sweep_membership.RUNS, *sweep_distribution.RUNS, *sweep_table.RUNS)
 NAMES = (*sweep_core.NAMES, *(sweep.name for runs in RUNS for sweep in runs.sweeps))
 WORKERS = 3
 LIMIT = 900.0  # seconds for one size
--- /dev/null
+++ b/tests/test_sweep_distribution.py
@@ -0,0 +1,33 @@
+"""The sweeps of distribution at small sizes: each finds a cost at each size, and what must hold does."""
+
+from __future__ import annotations
+
+import pytest
+
+from ironmill_lab.capacity import sweep_distribution, sweeps
+from ironmill_lab.capacity.data import POINTS_LEAST
+from ironmill_lab.capacity.runs import Runs
+
+SMALL = {
+    "fleet": (20, 30), "relay": (5, 10), "relay_memory": (5, 50), "keyspace": (50, 500),
+    "catch_up": (50, 500),
+}
+
+
+@pytest.mark.parametrize("runs", sweep_distribution.RUNS, ids=lambda runs: runs.run.__name__)
+def test_each_sweep_has_a_positive_cost_at_each_size(runs: Runs) -> None:
+    sizes = SMALL[runs.run.__name__]
+    found = runs.alone(quick=True, sizes=sizes)
+    assert set(found) == {sweep.name for sweep in runs.sweeps}
+    for sweep in found.values():
+        assert [size for size, _ in sweep.points] == list(sizes)
+        assert all(cost > 0.0 for _, cost in sweep.points)
+    assert len(runs.sizes) >= POINTS_LEAST
+    assert len(runs.quick) >= POINTS_LEAST
+    assert runs in sweeps.RUNS
+
+
+def test_a_cold_start_costs_little_more_than_what_it_brings() -> None:
+    found = sweep_distribution.catch_up(2000, True, 1)
+    carried = sum(3 + len(key) + len(value) for key, value in sweep_distribution.keys_of(2000).items())
+    assert carried < found["catch_up_bytes"] < 1.25 * carried
