Distribution: the age of what is in force goes by when the parent was asked

Cause: a Word counted as of when it was read. Change: a Word says which poll it answers; the age goes from when that poll was sent. Result: the pinned schedule fails without it and passes with it.

--- a/ironmill/distribution/publisher.py
+++ b/ironmill/distribution/publisher.py
@@ -205,7 +205,7 @@
         proven = link.tokens.proves(name, envelope.incarnation, poll.echo, now)
         if not proven or poll.probe:
             # Nothing is kept of whom nothing is proven of, and it is told no more than it has sent.
-            self._word(envelope, source, poll, 0)
+            self._word(envelope, source, poll, counted=False)
             return
         child = self._child(envelope, poll, source)
         child.count = envelope.count
@@ -220,7 +220,7 @@
             link.told("child-reachable", {"child": name})
         if child.in_force >= self._replica.held:
             child.at_newest = now
-        self._word(envelope, source, poll, envelope.count)
+        self._word(envelope, source, poll, counted=True)
         if child.pushed is not None and child.held >= child.pushed:
             child.pushed = None
         if child.pushed is None:
@@ -261,14 +261,14 @@
                 moved = Moved(envelope.sender, envelope.incarnation, poll.attached)
                 self._moved[peer, envelope.sender] = moved, -math.inf, 0
 
-    def _word(self, envelope: Envelope[Message], source: Address, poll: Poll, taken: int) -> None:
+    def _word(self, envelope: Envelope[Message], source: Address, poll: Poll, counted: bool) -> None:
         replica, name, incarnation = self._replica, envelope.sender, envelope.incarnation
         assert replica.log is not None
         token = self._link.tokens.give(name, incarnation, self._link.now)
         reaches = replica.log.reaches(poll.held)
         word = Word(
             poll.token, token, replica.lineage, self.term, replica.held, self.age, reaches,
-            taken,
+            envelope.count, counted,
         )
         self._link.send(name, source, word)
 
--- a/ironmill/distribution/subscriber.py
+++ b/ironmill/distribution/subscriber.py
@@ -48,7 +48,7 @@
 from ironmill.membership.envelope import DroppedError, Tokens
 
 PREVIOUS_TOLD = 5.0  # seconds after a change of parent
-SUMS_KEPT = 16  # polls with sums that may be answered yet
+POLLS_KEPT = 64  # that may be answered yet
 FRESH_BY = 1.0  # seconds: another parent is taken for its fresher word only if it is that much fresher
 
 
@@ -111,7 +111,7 @@
         self.fresh_at = -math.inf
         self.stale = False
         self.summed_at = -math.inf  # when the newest sum was made that the parent has
-        self._sums: dict[int, float] = {}  # when they were made, by the count of the poll; the last ones
+        self._polls: dict[int, float] = {}  # when the last ones were sent, by their count
         self.moved = False  # by a delta or a whole keyspace since the last look
         self._attached = 0
         self._previous: list[str] = []
@@ -258,10 +258,9 @@
             None if probe or self._summary is None else self._summary(),
         )
         count = self._link.send(contact.place.name, contact.place.address, poll)
-        if poll.summary is not None:
-            self._sums[count] = now
-            if len(self._sums) > SUMS_KEPT:
-                del self._sums[next(iter(self._sums))]
+        self._polls[count] = now
+        if len(self._polls) > POLLS_KEPT:
+            del self._polls[next(iter(self._polls))]
 
     def _acknowledge(self) -> None:
         """Tell the parent what is held now, without waiting for the next poll."""
@@ -290,11 +289,14 @@
         contact.token = word.token
         contact.answered_at, contact.unanswered = now, 0
         contact.head, contact.term = word.head, word.term
+        # By when it was asked, not by when this came: it may have waited for long on the way or unread.
+        asked_at = self._polls.get(word.answers, -math.inf)
         if word.age != AGE_NEVER and word.term >= self.term:
-            contact.fresh_at = max(contact.fresh_at, now - word.age / 1000.0)
+            contact.fresh_at = max(contact.fresh_at, asked_at - word.age / 1000.0)
         self.term = max(self.term, word.term)
         if contact is self.parent:
-            self.summed_at = max(self.summed_at, self._sums.pop(word.taken, -math.inf))
+            if word.counted and asked_at >= self._attached_at:
+                self.summed_at = max(self.summed_at, asked_at)
             self._poll_at = max(self._poll_at, self._polled_at + POLL_EVERY)
             contact.failures = 0
             if contact.fresh_at > self.fresh_at:
@@ -345,7 +347,6 @@
         self._attached += 1
         self._attached_at = self._link.now
         self._assembly = None
-        self._sums.clear()
         self.summed_at = -math.inf
         if self._catch_up is not None:
             self._catch_up.restart()
--- a/ironmill/distribution/wire.py
+++ b/ironmill/distribution/wire.py
@@ -101,7 +101,8 @@
     head: Position
     age: int
     reaches: bool  # the log reaches back to what the child holds
-    taken: int  # the count of the poll, if the child was counted by it; 0 if it proved nothing
+    answers: int  # the count of the poll
+    counted: bool  # the child is counted by that poll: it has proven itself, and was no probe
 
 
 class Part(Struct, frozen=True, array_like=True, tag=12, forbid_unknown_fields=True):
@@ -255,7 +256,7 @@
         case Word():
             return (
                 _number(message.lineage) and _number(message.term) and _position(message.head)
-                and _number(message.taken)
+                and _number(message.answers)
             )
         case Part():
             return (
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -282,6 +282,7 @@
     assert consumer.values == {"a": b"1", "b": b"1"}
     assert replica.keyspace.get("shard/1") == b"s"
     replica.take_whole(whole({"b": b"2"}), Position(1, 2), heard)  # an older one
+    replica.take_whole(whole({}), START, heard)
     assert replica.in_force == Position(1, 3)
     replica.take_whole(whole({"b": b"2"}), Position(1, 4), heard)
     assert consumer.values == {"b": b"2"}
@@ -467,7 +468,7 @@
     world = settled()
     node, other = node_of(world, name), "c02"
     address = node_of(world, other).card.address
-    word = Word(1, 1, 77, 1, START, 0, True, 0)
+    word = Word(1, 1, 77, 1, START, 0, True, 1, True)
     good = signed(world, other, word)
     for data, why in (
         (b"", "truncated"), (good[:16], "truncated"), (good[:40], "forged"), (good[:-1] + b"\x7f", "forged"),
@@ -555,7 +556,7 @@
     leaf, parent = parent_of(world)
     card = node_of(world, parent).card
     token = leaf.link.tokens.give(parent, 0, world.now)
-    word = Word(token, 1, 78, 9, Position(9, 9), 0, True, 0)
+    word = Word(token, 1, 78, 9, Position(9, 9), 0, True, 1, True)
     leaf.receive(signed(world, parent, word, leaf.card.name), card.address, world.now)
     assert leaf.dropped == {"lineage": 1}
     assert leaf.subscriber.term == 1
--- a/tests/test_distribution_model.py
+++ b/tests/test_distribution_model.py
@@ -271,3 +271,11 @@
 @given(st.lists(_ACTS, min_size=4, max_size=24))
 def test_whatever_happens_each_process_is_a_prefix_of_one_history(acts: list[Act]) -> None:
     play(acts)
+
+
+def test_a_word_that_waited_unread_does_not_make_what_is_in_force_fresh() -> None:
+    """It counted as of when it was read: after a pause of its relay a proxy was stale unnoticed for 5 s."""
+    play([
+        (10.47, "pause", ("c01", 1.5)), (10.93, "pause", ("origin", 2.51)),
+        (12.6, "cut", (("p00004", "origin", "p00000", "p00005", "p00003"), RELAYS, 6.11, True)),
+    ])
