--- a/ironmill/distribution/replica.py
+++ b/ironmill/distribution/replica.py
@@ -61,8 +61,8 @@
 
     def take_whole(self, whole: Keyspace, position: Position, told: OnEvent) -> None:
         """A keyspace that was caught up with takes the place of the one held."""
-        if position < self.held:
-            return
+        if position < self.held or position == START:
+            return  # START: of a parent that has just started and holds nothing itself
         if self._consumer is not None:
             changes = self._difference(whole, self._consumer.looked_up)
             refusal = self._ask(changes)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -275,6 +275,13 @@
     assert (replica.held, replica.digest) == (replica.in_force, replica.keyspace.digest)
 
 
+def test_the_nothing_of_a_parent_that_has_just_started_does_not_come_into_force() -> None:
+    """A proxy that was catching up when its parent changed told position 0.0 as in force."""
+    replica, _, told = replica_of()
+    replica.take_whole(Keyspace(), START, lambda what, fields: told.append(what))
+    assert told == []
+
+
 def test_a_whole_keyspace_brings_the_consumer_the_difference_and_nothing_that_is_looked_up() -> None:
     replica, consumer, _ = replica_of()
     heard = lambda what, fields: None  # noqa: E731
