--- a/ironmill/distribution/node.py
+++ b/ironmill/distribution/node.py
@@ -221,12 +221,14 @@
 
     def _tick(self) -> None:
         self.subscriber.tick()
+        self.publisher.summed_at = self.subscriber.summed_at
         self.publisher.tick()
         self._pass_on()
 
     def _take(self, envelope: Envelope[Message], source: Address) -> None:
         if isinstance(envelope.message, Word | Part | Digests | Page):
             _of_child(self.subscriber, envelope)
+            self.publisher.summed_at = self.subscriber.summed_at
             self._pass_on()
         else:
             self.publisher.term, self.publisher.age = self.subscriber.term, self.subscriber.age
@@ -264,6 +266,8 @@
         self.replica.digest = self.replica.keyspace.digest
         self.publisher = Publisher(self.link, self.replica, timing, relays)
         self.publisher.term, self.publisher.age = store.epoch, 0
+        self._unobserved = 0
+        self._failing = False
         self._missing = MissingList(timing.forget_after)
         self._everywhere = START
         self._pushed_at: dict[Position, float] = {}
@@ -359,8 +363,7 @@
         self.publisher.tick()
         if self.link.now >= self._look_at and not self.publisher.stopped:
             self._look_at = self.link.now + STORE_CHECK
-            if self._store.fenced():
-                self._stop()
+            self._look_at_store()
         reachable = {
             child.name: child.incarnation for child in self.publisher.children.values() if child.reachable
         }
@@ -372,9 +375,10 @@
         if isinstance(message, Poll):
             if message.lineage not in (0, self.replica.lineage):
                 raise DroppedError("lineage")
-            if message.held > self.replica.held and self._ahead != message.held:
+            ahead = message.held > self.replica.held and message.held.epoch >= self._store.epoch
+            if ahead and self._ahead != message.held:
                 self._ahead = max(message.held, self._ahead or START)
-                self._store.observe(message.held.epoch)
+                self._unobserved = self._ahead.epoch  # the store is told with the next look at it
                 self.link.told("fleet-ahead", {"fleet": str(message.held), "store": str(self.replica.held)})
         _of_parent(self.publisher, envelope, source)
         if isinstance(message, Sought):
@@ -382,6 +386,20 @@
         elif isinstance(message, Moved):
             self._missing.found(message.name, message.incarnation, message.attached)
 
+    def _look_at_store(self) -> None:
+        """Whether another writer has it, and what it has to know; one that fails is told once."""
+        try:
+            if self._store.fenced():
+                self._stop()
+            elif self._unobserved:
+                self._store.observe(self._unobserved)
+                self._unobserved = 0
+            self._failing = False
+        except StoreError as why:
+            if not self._failing:
+                self._failing = True
+                self.link.told("store-failing", {"reason": str(why)})
+
     def _look_everywhere(self) -> None:
         lowest = _everywhere(self.summary(0), self.replica.held)
         if lowest is not None and lowest > self._everywhere:
