--- a/ironmill_lab/capacity/sweeps.py
+++ b/ironmill_lab/capacity/sweeps.py
@@ -23,7 +23,7 @@
 # The longest first.
 RUNS: tuple[Runs, ...] = (*sweep_membership.RUNS, *sweep_distribution.RUNS, *sweep_table.RUNS)
 NAMES = (*sweep_core.NAMES, *(sweep.name for runs in RUNS for sweep in runs.sweeps))
-WORKERS = 3
+WORKERS = 4
 LIMIT = 900.0  # seconds for one size
 
 
