--- a/ironmill_lab/__main__.py
+++ b/ironmill_lab/__main__.py
@@ -27,7 +27,7 @@
   --target=HOST:PORT  Where a floor sends all lines on to.
   -h --help      Show this text.
 
-Measurements: core, identity, membership. Each prints a table, and as its last line one JSON object.
+Measurements: core, identity, membership, scale. Each prints a table, and as its last line one JSON object.
 """
 
 from __future__ import annotations
--- a/ironmill_lab/measure.py
+++ b/ironmill_lab/measure.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-NAMES = ("core", "identity", "membership")
+NAMES = ("core", "identity", "membership", "scale")
 
 
 def run(name: str, quick: bool, poller: str, program: Path | None) -> int:
--- /dev/null
+++ b/ironmill_lab/measures/scale.py
@@ -0,0 +1,91 @@
+"""What a fleet of the operators' plan costs: sweeps, stories on the virtual clock, hollow proxies on sockets.
+
+In full all of it is run and written to ``docs/capacity/measured.json``, from which the page is made
+(``python -m ironmill_lab capacity``). With ``--quick`` sizes are small but for the stories, of which four are
+run at the plan's size, and nothing is written. A figure that was not run is None.
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import sys
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any
+
+from ironmill_lab.capacity import data, on_sockets, stories, sweeps
+
+QUICK_STORIES = ("zone", "storm", "loss", "region")
+QUICK_SWEEPS = (  # of what was there before, the others are those of distribution
+    "placement_cpu", "membership_zone_bytes", "table_memory",
+)
+WORKERS = 4  # stories at once: each is one busy process of a quarter of a GB
+LIMIT = 3600.0  # seconds for one story
+# Hollow proxies, control machines, processes of hollow ones, whole proxies.
+ON_SOCKETS, ON_SOCKETS_QUICK = (2800, 27, 20, 3), (280, 5, 4, 1)
+
+
+def measure(quick: bool, poller: str, program: Path | None) -> dict[str, Any]:
+    """The figures by name; ``poller`` and ``program`` are not used."""
+    played = _stories(quick)
+    sockets = on_sockets.run(*(ON_SOCKETS_QUICK if quick else ON_SOCKETS), 15.0 if quick else 60.0, quick)
+    print("on sockets:", *(f"{name} {value}" for name, value in sockets.items()), sep="\n  ")
+    names = sweeps.NAMES if not quick else [
+        name for name in sweeps.NAMES if name in QUICK_SWEEPS or name in DISTRIBUTION
+    ]
+    found = sweeps.sweep(quick, names=names)
+    sweeps.print_fits(found)
+    if not quick:
+        told = {name: one | {"sign": data.Sign.VIRTUAL.value} for name, one in played.items()}
+        told["on_sockets"] = sockets | {"sign": data.Sign.HOLLOW.value}
+        data.save(data.merge(data.Measured(found, told, sweeps.machine())))
+    return summary(played, sockets)
+
+
+DISTRIBUTION = frozenset(sweep.name for runs in sweeps.sweep_distribution.RUNS for sweep in runs.sweeps)
+
+
+def _stories(quick: bool) -> dict[str, dict[str, Any]]:
+    names = QUICK_STORIES if quick else tuple(stories.STORIES)
+    found: dict[str, dict[str, Any]] = {}
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(WORKERS, context, max_tasks_per_child=1) as pool:
+        tasks = {name: pool.submit(stories.play, name, stories.FULL, quick) for name in names}
+        for name, task in tasks.items():
+            found[name] = task.result(LIMIT)
+            print(f"{name}:", *(f"{key} {value}" for key, value in found[name].items()), sep="\n  ")
+            for line in stories.broken(found[name]):
+                print(f"NOT KEPT: {name}: {line}")
+            sys.stdout.flush()
+    return found
+
+
+def summary(played: Mapping[str, Mapping[str, Any]], sockets: Mapping[str, Any]) -> dict[str, Any]:
+    """The last line: each figure at its worst story, on the virtual clock or on sockets."""
+    every = [*played.values(), sockets]
+    worst: dict[str, Callable[[Iterable[Any]], Any]] = {
+        "members_run": max, "change_p99_s": max, "change_max_s": max, "lost_changes": sum,
+        "older_after_newer": sum, "half_in_force": sum, "stale_unnoticed": sum, "false_everywhere": sum,
+    }
+    found: dict[str, Any] = {
+        name: _of(over, [one.get(name) for one in every]) for name, over in worst.items()
+    }
+    rest = played.get("rest") or next(iter(played.values()), {})  # before anything happens all are at rest
+    found["control_bytes_per_s"] = rest.get("control_bytes_per_s")
+    found["zone_loss_bytes_per_s"] = played.get("zone", {}).get("proxy_bytes_highest_s")
+    for name in (
+        "real_processes", "hollow_on_sockets", "control_core_percent", "control_memory_mb", "clients_lost"
+    ):
+        found[name] = sockets.get(name)
+    found["peak_memory_mb"] = _of(max, [one.get("peak_memory_mb") for one in every])
+    found["stories"] = sorted(played)
+    found["not_kept"] = sorted(
+        f"{name}: {line}" for name, one in played.items() for line in stories.broken(dict(one))
+    )
+    return found
+
+
+def _of(over: Callable[[Iterable[Any]], Any], values: Iterable[Any]) -> Any:
+    known = [value for value in values if value is not None]
+    return over(known) if known else None
