--- a/ironmill_lab/measures/scale.py
+++ b/ironmill_lab/measures/scale.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-from ironmill_lab.capacity import data, on_sockets, stories, sweeps
+from ironmill_lab.capacity import data, on_sockets, stories, sweep_distribution, sweeps
 
 QUICK_STORIES = ("zone", "storm", "loss", "region")
 QUICK_SWEEPS = (  # of what was there before, the others are those of distribution
@@ -43,7 +43,7 @@
     return summary(played, sockets)
 
 
-DISTRIBUTION = frozenset(sweep.name for runs in sweeps.sweep_distribution.RUNS for sweep in runs.sweeps)
+DISTRIBUTION = frozenset(sweep.name for runs in sweep_distribution.RUNS for sweep in runs.sweeps)
 
 
 def _stories(quick: bool) -> dict[str, dict[str, Any]]:
