Laboratory: a free port is free for UDP too, and handed to nobody by the system

Cause: free_port looked at TCP alone and took ports that the system hands out. While 2,800 hollow proxies opened UDP sockets beside it, a town of test_distribution_processes failed in its fixture: 'Address already in use' in the logs of c02, p04 and p06. Change: ports below those that Linux hands out, unused by both, given once in a process.

--- a/ironmill_lab/faults/socket_fleet.py
+++ b/ironmill_lab/faults/socket_fleet.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import random
 import signal
-import socket
 import threading
 import time
 from collections import Counter
@@ -18,15 +16,14 @@
 
 from ironmill.commands import config
 from ironmill.distribution.revision import Position
-from ironmill.membership.envelope import Address, spelled
+from ironmill.membership.envelope import spelled
 from ironmill_lab.faults.checker import Seen, read_logs
 from ironmill_lab.faults.hollow import region, zone
-from ironmill_lab.processes import CommandedProcess, Neighbours, Process, ProxyProcess, Usage
+from ironmill_lab.processes import CommandedProcess, Neighbours, Process, ProxyProcess, Usage, free_port
 from ironmill_lab.settings import platform_settings, proxy_config, write_config
 
 ORIGIN = "c00"
 KEY = "0f" * 32
-PORTS = (20000, 32000)  # below those that the system gives to sockets without one: a restart finds its own
 LOOK = 0.1
 HELD_OFF = 0.05  # seconds between two looks at memory, for each ten processes
 
@@ -47,11 +44,10 @@
         self.hollow: list[CommandedProcess] = []
         self.peak = 0  # bytes resident, all processes together and this one
         self._shares = [proxies * at // hollow_processes for at in range(hollow_processes + 1)]
-        self._taken: set[int] = set()
         names = [*self.controls, *self.real, *self.plain]
-        self._homes = {name: self._address() for name in names}
-        self.staff = {name: self._address() for name in names}
-        self.clients = {name: self._address() for name in [*self.real, *self.plain]}
+        self._homes = {name: ("127.0.0.1", free_port()) for name in names}
+        self.staff = {name: ("127.0.0.1", free_port()) for name in names}
+        self.clients = {name: ("127.0.0.1", free_port()) for name in [*self.real, *self.plain]}
         self._stack = ExitStack()
         self._paused: set[str] = set()
         self._looking = threading.Event()
@@ -86,23 +82,7 @@
                 process.popen.kill()
         self._stack.close()
 
-    # Files and addresses
-
-    def _address(self) -> Address:
-        """One that neither TCP nor UDP uses now."""
-        rng = random.Random()
-        while True:
-            port = rng.randrange(*PORTS)
-            if port in self._taken:
-                continue
-            try:
-                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    with socket.socket(socket.AF_INET, kind) as sock:
-                        sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            self._taken.add(port)
-            return "127.0.0.1", port
+    # Files
 
     def _write(self, name: str, role: str) -> None:
         lines = ['<ironmill xmlns="urn:ironmill:settings:1">', '<log form="json"/>']
--- a/ironmill_lab/processes.py
+++ b/ironmill_lab/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,10 @@
 
 READY_WAIT = 30.0  # for a process to answer for the first time, seconds
 END_WAIT = 10.0
+PORTS = (10240, 32768)  # below those that Linux hands out by itself
+PORT_TRIES = 1000
+
+_given: set[int] = set()
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,8 +146,21 @@
 
 
 def free_port() -> int:
-    """A port of 127.0.0.1 that nothing listens at just now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
+    """A port of 127.0.0.1 that neither TCP nor UDP uses just now, and that was not given before.
+
+    The system hands it to nobody who does not ask for it, so that it is still free a little later, and at a
+    restart, however many sockets others open. RuntimeError where none is found.
+    """
+    for _ in range(PORT_TRIES):
+        port = random.randrange(*PORTS)
+        if port in _given:
+            continue
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as sock:
+                    sock.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        _given.add(port)
         return port
+    raise RuntimeError(f"no free port from {PORTS[0]} to {PORTS[1] - 1}")
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from collections import Counter
 from pathlib import Path
@@ -14,6 +15,7 @@
 import pytest
 
 from ironmill.distribution.revision import START, Position
+from ironmill_lab import processes
 from ironmill_lab.capacity import on_sockets
 from ironmill_lab.faults.checker import Seen
 from ironmill_lab.faults.hollow import TWINS, Taker, Tally, region, zone
@@ -60,10 +62,10 @@
         fleet.start_hollow()
         (hollow,) = fleet.hollow
         assert hollow.ask("told")["proxies"] == 2
-        processes = fleet.all()
+        started = fleet.all()
         fleet.pause("c01")
         raise ZeroDivisionError
-    assert all(process.popen.poll() is not None for process in processes)
+    assert all(process.popen.poll() is not None for process in started)
 
 
 def test_a_hollow_process_ends_when_its_input_does(tmp_path: Path) -> None:
@@ -86,6 +88,19 @@
             process.ask("told")
 
 
+def test_a_port_that_udp_uses_or_that_was_given_is_not_free(monkeypatch: pytest.MonkeyPatch) -> None:
+    port = processes.free_port()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", port))
+        monkeypatch.setattr(processes, "_given", set[int]())
+        monkeypatch.setattr(processes, "PORTS", (port, port + 1))
+        with pytest.raises(RuntimeError, match="no free port"):
+            processes.free_port()
+    assert processes.free_port() == port
+    with pytest.raises(RuntimeError, match="no free port"):
+        processes.free_port()
+
+
 def test_eleven_zones_in_five_regions() -> None:
     places = {(zone(at), region(at)) for at in range(2800)}
     assert len(places) == 11
