--- a/ironmill_lab/capacity/tables.py
+++ b/ironmill_lab/capacity/tables.py
@@ -90,7 +90,7 @@
             " that it serves with; as run: a relay's highest second"
             f" {_q(model.story('zone', 'relay_bytes_highest_s'), 'B/s')}, caught up after"
             f" {_q(model.story('zone', 'catch_up_s'), 's')}",
-            "its proxies serve by what they kept, or do not yet serve",
+            "its proxies serve by their own files, with no distributed key, until they have all",
             "each by itself: it is behind",
         ],
         [
