--- a/ironmill_lab/capacity/sweep_distribution.py
+++ b/ironmill_lab/capacity/sweep_distribution.py
@@ -23,7 +23,7 @@
 from ironmill.distribution.timing import TICK, Timing
 from ironmill.distribution.wire import Codec, Place, Poll
 from ironmill.membership.envelope import Address, Card, Datagram
-from ironmill_lab.capacity.data import Sign, Sweep
+from ironmill_lab.capacity.data import Shape, Sign, Sweep
 from ironmill_lab.capacity.runs import Runs
 from ironmill_lab.capacity.stories import scaled
 from ironmill_lab.faults.fleet_world import KEY, FleetWorld, HollowConsumer, Process
@@ -307,8 +307,8 @@
     return found
 
 
-def _sweep(name: str, what: str, x: str, unit: str = "s") -> Sweep:
-    return Sweep(name, what, x, unit, Sign.VIRTUAL, ())
+def _sweep(name: str, what: str, x: str, unit: str = "s", shape: Shape = Shape.LINE) -> Sweep:
+    return Sweep(name, what, x, unit, Sign.VIRTUAL, (), shape)
 
 
 RUNS = (
@@ -316,7 +316,8 @@
         keyspace,
         (
             _sweep("keyspace_memory", "Bytes held by a Keyspace for all entries together, keys of 12 and "
-                   f"values of {len(value_of(0))} bytes, by tracemalloc.", "entries", "B"),
+                   f"values of {len(value_of(0))} bytes, by tracemalloc; an entry costs less the fuller "
+                   "its leaf is.", "entries", "B", Shape.POWER),
             _sweep("keyspace_put_cpu", "CPU of Keyspace.put of a new value for a key there is.", "entries"),
         ),
         ENTRIES, ENTRIES_QUICK,
