--- a/ironmill_lab/capacity/stories.py
+++ b/ironmill_lab/capacity/stories.py
@@ -35,6 +35,7 @@
 RACK = 40 / 2800  # of the proxies
 RESTARTS = 710 / 2800
 VALUE = 100  # bytes
+PARTS = (0.01, 0.1, 0.25, 0.5, 0.75, 0.9, 0.99, 0.999, 1.0)  # of all changes at all proxies
 
 
 class Told:
@@ -220,6 +221,7 @@
         "changes": len(watch.pushed_at),
         "change_p50_s": _quantile(changes, 0.5), "change_p99_s": _quantile(changes, 0.99),
         "change_max_s": _quantile(changes, 1.0),
+        "in_force_by": [[_quantile(changes, part), part] for part in PARTS] if changes else None,
         "control_bytes_per_s": _mean(quiet, _all_sent), "control_bytes_highest_s": _most(busy, _all_sent),
         "proxy_bytes_per_s": _mean(quiet, lambda one: one.proxy_sent / max(1, one.proxies)),
         "proxy_bytes_highest_s": _most(busy, lambda one: one.proxy_sent / max(1, one.proxies)),
