Tidy distribution: one place for limits of staff's words and for what a relay passes on

Limits of author, note and ticket stood twice; the relay copied term, age and sum to its publisher in four places, and a tick did not bring the term; an argument and a function that nobody used are gone; an origin whose newest revision is everywhere makes no sum each tenth of a second.

--- a/ironmill/configuration_calls.py
+++ b/ironmill/configuration_calls.py
@@ -16,7 +16,10 @@
 from msgspec import Meta, Struct
 
 from ironmill.distribution.revision import (
+    AUTHOR_MOST,
+    NOTE_MOST,
     NUMBER_MOST,
+    TICKET_MOST,
     Changes,
     Entry,
     FencedError,
@@ -34,9 +37,6 @@
 REVISIONS = "/admin/configuration/revisions"
 REVERT = "/admin/configuration/revert"
 
-AUTHOR_MOST = 128  # characters
-NOTE_MOST = 1024
-TICKET_MOST = 64
 HISTORY_MOST = 1000  # revisions in one answer
 HISTORY_USUAL = 20
 HISTORY_BYTES = 1 << 20  # of their keys and values in one answer; the newest is there however large it is
--- a/ironmill/distribution/catch_up.py
+++ b/ironmill/distribution/catch_up.py
@@ -67,10 +67,10 @@
 class CatchUp:
     """One catching up, from the first question to the whole keyspace."""
 
-    def __init__(self, old: Keyspace, rate: float, now: float, staged: Keyspace | None = None) -> None:
-        """``staged`` is what an earlier catching up had fetched; ``rate`` is bytes a second."""
+    def __init__(self, old: Keyspace, rate: float, now: float) -> None:
+        """``rate`` is bytes a second."""
         self.frontier: Position | None = None  # the overlay's end; None before the first answer
-        self.staged = old.copy() if staged is None else staged
+        self.staged = old.copy()
         self.fetched = 0  # bytes of answers
         self.mismatches = 0
         self._rate = rate
--- a/ironmill/distribution/log.py
+++ b/ironmill/distribution/log.py
@@ -5,7 +5,7 @@
 from bisect import bisect_right
 from operator import attrgetter
 
-from ironmill.distribution.revision import START, Delta, Position, fold, packed_size
+from ironmill.distribution.revision import Delta, Position, fold, packed_size
 
 STEPS_MOST = 4096  # an hour of 45,000 changes a day is 1,900; all of them within an hour last 5 minutes
 BYTES_MOST = 4 << 20
@@ -74,8 +74,3 @@
             return steps[0]
         changes = fold(step.changes for step in steps)
         return Delta(base, steps[-1].target, steps[-1].digest, changes, packed_size(changes))
-
-
-def first_step(target: Position, digest: int, changes: dict[str, bytes | None]) -> Delta:
-    """What leads from nothing to a whole keyspace; for tests and small beginnings."""
-    return Delta(START, target, digest, changes, packed_size(changes))
--- a/ironmill/distribution/node.py
+++ b/ironmill/distribution/node.py
@@ -221,24 +221,25 @@
 
     def _tick(self) -> None:
         self.subscriber.tick()
-        self.publisher.summed_at = self.subscriber.summed_at
-        self.publisher.tick()
         self._pass_on()
+        self.publisher.tick()
 
     def _take(self, envelope: Envelope[Message], source: Address) -> None:
         if isinstance(envelope.message, Word | Part | Digests | Page):
             _of_child(self.subscriber, envelope)
-            self.publisher.summed_at = self.subscriber.summed_at
             self._pass_on()
         else:
-            self.publisher.term, self.publisher.age = self.subscriber.term, self.subscriber.age
+            self._pass_on()  # the word grows older with time alone
             _of_parent(self.publisher, envelope, source)
 
     def _pass_on(self) -> None:
-        if self.subscriber.moved:
-            self.subscriber.moved = False
-            self.publisher.term, self.publisher.age = self.subscriber.term, self.subscriber.age
-            self.publisher.published()
+        """What the subscriber knows, the publisher tells."""
+        subscriber, publisher = self.subscriber, self.publisher
+        publisher.term, publisher.age = subscriber.term, subscriber.age
+        publisher.summed_at = subscriber.summed_at
+        if subscriber.moved:
+            subscriber.moved = False
+            publisher.published()
 
 
 class Origin(Node):
@@ -402,6 +403,8 @@
                 self.link.told("store-failing", {"reason": str(why)})
 
     def _look_everywhere(self) -> None:
+        if self._everywhere >= self.replica.held:
+            return  # there is nothing newer to be told of
         lowest = _everywhere(self.summary(0), self.replica.held)
         if lowest is not None and lowest > self._everywhere:
             self._look_at_store()
--- a/ironmill/distribution/revision.py
+++ b/ironmill/distribution/revision.py
@@ -15,6 +15,9 @@
 REVISION_BYTES_MOST = 1 << 16  # of one revision's changes, packed
 REVISION_CHANGES_MOST = 4096
 NUMBER_MOST = 1 << 62
+AUTHOR_MOST = 128  # characters
+NOTE_MOST = 1024
+TICKET_MOST = 64
 
 Changes = dict[str, bytes | None]  # None: the key is deleted
 
--- a/ironmill/net/control_machine.py
+++ b/ironmill/net/control_machine.py
@@ -93,8 +93,7 @@
         self.control.close()
         if self._store is not None:
             self._store.close()
-        time_left = LAST_WORDS
-        self.scheduler.call_later(time_left, self.scheduler.stop)
+        self.scheduler.call_later(LAST_WORDS, self.scheduler.stop)
 
 
 def serve(name: str, operator: Operator, staff: Address) -> int:
--- a/ironmill/net/distribution.py
+++ b/ironmill/net/distribution.py
@@ -32,7 +32,7 @@
     def __init__(
         self, scheduler: Scheduler, name: str, settings: DistributionSettings, keys: Sequence[bytes],
     ) -> None:
-        """OSError where the address is not to be had. ``join`` has to follow."""
+        """OSError where the address is not to be had. ``leaf``, ``relay`` or ``origin`` has to follow."""
         self.settings = settings
         self.codec = Codec(settings.cluster, keys)
         self.node: Node | None = None
@@ -41,7 +41,6 @@
             name, *settings.listen, settings.zone, settings.region, max(1, int(time.time() * 1000.0))
         )
         self._timing = Timing(settings.stale_after, settings.forget_after, settings.catch_up_rate)
-        # A process whose addresses are not what others say of it is known by its name alone.
         self._controls = [
             (Place(one.name, one.address, one.zone, one.region), one.origin) for one in settings.controls
         ]
--- a/ironmill/net/revision_store.py
+++ b/ironmill/net/revision_store.py
@@ -13,9 +13,12 @@
 from collections.abc import Iterator
 
 from ironmill.distribution.revision import (
+    AUTHOR_MOST,
+    NOTE_MOST,
     NUMBER_MOST,
     REVISION_CHANGES_MOST,
     START,
+    TICKET_MOST,
     Changes,
     Entry,
     FencedError,
@@ -27,9 +30,6 @@
 
 REVISIONS_KEPT = 100_000  # two days of 45,000; what is older cannot be undone, and its ticket is not known
 READ_MOST = 1000  # revisions of one look at the history; guards memory
-AUTHOR_MOST = 128  # characters
-NOTE_MOST = 1024
-TICKET_MOST = 64
 BUSY_WAIT = 1.0  # seconds for another process that writes just now
 FORM = 1
 APPLICATION = int.from_bytes(b"IMrv")  # in the file's header: that it is one of these
