Catch-up: it starts again once the parent's log no longer leads on from its frontier

Seen by operators: a proxy that restarts under loss stays at position 0.0 for ever while its parent has the latest one. Its status says catching_up, the origin's says behind.

Cause: the parent catches up by ranges itself, which clears its log. The child knows from an entries response that the parent is beyond its frontier and waits for a delta that the parent does not have. Each poll response says so (log_covers_child is false), but Subscriber._on_parent_ahead returned at once while a catch-up ran.

Evidence: both schedules traced at each poll response: frontier 1.2, parent at 1.3 (1.5 in the second), no request queued or outstanding, covers=False from 18.75 s (20.11 s) to the end.

Change: a response to a poll that named the frontier, from a parent that is ahead and whose log does not cover it, restarts the comparison; what has been fetched is kept. The poll's position is remembered with its time, as a response to an earlier poll says nothing of the frontier. The restart is an event and a log line, catching-up-again.

--- a/ironmill/distribution/events.py
+++ b/ironmill/distribution/events.py
@@ -58,6 +58,13 @@
     received_position: Position
 
 
+class CatchUpRestarted(Struct, frozen=True):
+    """The parent's log no longer leads on from a catch-up's position: the keyspaces are compared again."""
+
+    frontier: Position
+    parent_position: Position
+
+
 class CatchUpFinished(Struct, frozen=True):
     """The whole keyspace has been fetched and proven."""
 
@@ -119,6 +126,7 @@
     | ParentChanged
     | ParentLost
     | CatchUpStarted
+    | CatchUpRestarted
     | CatchUpFinished
     | ChildAdded
     | ChildReachable
--- a/ironmill/distribution/poll_schedule.py
+++ b/ironmill/distribution/poll_schedule.py
@@ -1,14 +1,27 @@
-"""When a child polls its parent, and when its recent polls were sent."""
+"""When a child polls its parent, and what its recent polls named."""
 
 from __future__ import annotations
 
 import math
 
+from msgspec import Struct
+
+from ironmill.distribution.revision import START, Position
 from ironmill.distribution.timing import MIN_ACK_INTERVAL_S, POLL_INTERVAL_S, POLL_RETRY_DELAY_S
 
 MAX_TRACKED_POLLS = 64  # that may still be answered
 
 
+class SentPoll(Struct, frozen=True):
+    """What is remembered of a poll until its answer arrives."""
+
+    sent_at: float
+    received_position: Position  # as the poll named it
+
+
+_FORGOTTEN_POLL = SentPoll(-math.inf, START)
+
+
 class PollSchedule:
     """The times of past polls and of the next one, in seconds of the monotonic clock."""
 
@@ -16,7 +29,7 @@
         """The first poll is due at once."""
         self._next_at = now
         self._last_at = -math.inf
-        self._sent_at: dict[int, float] = {}  # by the count of the datagram
+        self._sent: dict[int, SentPoll] = {}  # by the count of the datagram
 
     def is_due(self, now: float) -> bool:
         """Returns True if the parent is to be polled now."""
@@ -39,12 +52,12 @@
         """Schedules a poll as acknowledgement, as soon as ``MIN_ACK_INTERVAL_S`` after the last poll."""
         self._next_at = min(self._next_at, max(now, self._last_at + MIN_ACK_INTERVAL_S))
 
-    def record_sent(self, count: int, now: float) -> None:
+    def record_sent(self, count: int, poll: SentPoll) -> None:
         """Records the datagram of a poll, to the parent or to another candidate."""
-        self._sent_at[count] = now
-        if len(self._sent_at) > MAX_TRACKED_POLLS:
-            del self._sent_at[next(iter(self._sent_at))]
+        self._sent[count] = poll
+        if len(self._sent) > MAX_TRACKED_POLLS:
+            del self._sent[next(iter(self._sent))]
 
-    def sent_at(self, count: int) -> float:
-        """Returns when a poll was sent; minus infinity if that is not known any more."""
-        return self._sent_at.get(count, -math.inf)
+    def sent(self, count: int) -> SentPoll:
+        """Returns a poll; one sent at minus infinity if it is not known any more."""
+        return self._sent.get(count, _FORGOTTEN_POLL)
--- a/ironmill/distribution/subscriber.py
+++ b/ironmill/distribution/subscriber.py
@@ -8,7 +8,7 @@
 from ironmill.distribution.catch_up import CatchUp, Request
 from ironmill.distribution.delta_assembler import DeltaAssembler
 from ironmill.distribution.drop_reason import DistributionDropReason
-from ironmill.distribution.events import CatchUpFinished, CatchUpStarted
+from ironmill.distribution.events import CatchUpFinished, CatchUpRestarted, CatchUpStarted
 from ironmill.distribution.freshness import Freshness
 from ironmill.distribution.link import Link
 from ironmill.distribution.messages import (
@@ -25,7 +25,7 @@
     PollResponse,
 )
 from ironmill.distribution.parent_selector import ParentCandidate, ParentSelector
-from ironmill.distribution.poll_schedule import PollSchedule
+from ironmill.distribution.poll_schedule import PollSchedule, SentPoll
 from ironmill.distribution.replica import Replica
 from ironmill.distribution.revision import START, Delta
 from ironmill.distribution.timing import MAX_UNANSWERED_POLLS, PAUSE_THRESHOLD_S, Timing
@@ -136,7 +136,7 @@
             summary=None if is_probe or self._make_summary is None else self._make_summary(),
         )
         count = self._link.send(endpoint.name, endpoint.address, poll)
-        self._schedule.record_sent(count, now)
+        self._schedule.record_sent(count, SentPoll(now, received_position))
 
     def _acknowledge(self) -> None:
         """Polls now, or as soon as the rate of acknowledgements allows."""
@@ -180,10 +180,10 @@
         token_had_expired = (
             candidate.token == 0 or now - candidate.answered_at > ContactTokens.ROTATION_INTERVAL_S
         )
-        polled_at = self._schedule.sent_at(response.poll_count)
-        selector.record_response(candidate, response, polled_at)
+        poll = self._schedule.sent(response.poll_count)
+        selector.record_response(candidate, response, poll.sent_at)
         if candidate is selector.parent:
-            self._on_parent_response(candidate, response, polled_at)
+            self._on_parent_response(candidate, response, poll)
             if token_had_expired:
                 self._acknowledge()
         elif selector.should_attach(candidate, catching_up=self.is_catching_up):
@@ -191,14 +191,14 @@
         if replica.lineage == 0 and response.lineage and candidate is self.parent:
             replica.lineage = response.lineage
 
-    def _on_parent_response(self, parent: ParentCandidate, response: PollResponse, polled_at: float) -> None:
-        if response.is_child and polled_at >= self._selector.attached_at:
-            self.summary_acked_at = max(self.summary_acked_at, polled_at)
+    def _on_parent_response(self, parent: ParentCandidate, response: PollResponse, poll: SentPoll) -> None:
+        if response.is_child and poll.sent_at >= self._selector.attached_at:
+            self.summary_acked_at = max(self.summary_acked_at, poll.sent_at)
         self._schedule.record_response()
         parent.failures = 0
         self.freshness.record(parent.origin_heard_at)
         if response.latest_position > self.replica.received_position:
-            self._on_parent_ahead(response)
+            self._on_parent_ahead(response, poll)
 
     def _attach(self, candidate: ParentCandidate) -> None:
         self._selector.attach(candidate)
@@ -208,9 +208,12 @@
             self._catch_up.restart()
         self._poll(candidate)
 
-    def _on_parent_ahead(self, response: PollResponse) -> None:
+    def _on_parent_ahead(self, response: PollResponse, poll: SentPoll) -> None:
         """Waits for the parent's delta, or catches up by ranges if its log does not lead here."""
         if self._catch_up is not None:
+            if self._has_lost_frontier(self._catch_up, response, poll):
+                self._link.notify(CatchUpRestarted(poll.received_position, response.latest_position))
+                self._catch_up.restart()
             return
         if self.replica.has_lost_pending:
             self.replica.discard_pending()
@@ -219,6 +222,20 @@
             return
         self._start_catch_up()
 
+    @staticmethod
+    def _has_lost_frontier(catch_up: CatchUp, response: PollResponse, poll: SentPoll) -> bool:
+        """Returns True if the parent has no delta from the catch-up's frontier to its own position.
+
+        That is so once the parent has caught up by ranges itself, which leaves its log empty, or has dropped
+        the steps that lead on from the frontier.
+        """
+        return (
+            catch_up.frontier is not None
+            and poll.received_position == catch_up.frontier
+            and response.latest_position > catch_up.frontier
+            and not response.log_covers_child
+        )
+
     # Deltas
 
     def _on_delta_chunk(self, candidate: ParentCandidate, chunk: DeltaChunk) -> None:
--- a/ironmill/net/distribution_log.py
+++ b/ironmill/net/distribution_log.py
@@ -11,6 +11,7 @@
     BecameFresh,
     BecameStale,
     CatchUpFinished,
+    CatchUpRestarted,
     CatchUpStarted,
     ChildAdded,
     ChildReachable,
@@ -71,6 +72,10 @@
     return {"parent": event.parent, "was": event.previous}
 
 
+def _catch_up_restarted(event: CatchUpRestarted) -> Fields:
+    return {"held": str(event.frontier), "parent_has": str(event.parent_position)}
+
+
 def _catch_up_finished(event: CatchUpFinished) -> Fields:
     return {"bytes": event.fetched_bytes, "held": str(event.position)}
 
@@ -96,6 +101,7 @@
     ParentChanged: LogLine("parent", _parent),
     ParentLost: LogLine("parent-lost", lambda event: {"parent": event.parent}, is_warning=True),
     CatchUpStarted: LogLine("catching-up", lambda event: {"held": str(event.received_position)}),
+    CatchUpRestarted: LogLine("catching-up-again", _catch_up_restarted),
     CatchUpFinished: LogLine("caught-up", _catch_up_finished),
     ChildAdded: LogLine("child", _child_added),
     ChildReachable: LogLine("child-reachable", lambda event: {"child": event.child}),
--- a/tests/unit/distribution/test_random_schedules.py
+++ b/tests/unit/distribution/test_random_schedules.py
@@ -316,7 +316,7 @@
 
 
 def test_a_catch_up_ends_though_its_parent_has_caught_up_by_ranges_as_well() -> None:
-    """Known red: the parent's log no longer covers the catch-up's frontier, and it waits for ever."""
+    """The parent's log no longer covers the catch-up's frontier, and it must not wait for ever."""
     play(
         [
             (6.16, "change", {"shard/000001": None}),
@@ -329,3 +329,27 @@
             (17.37, "cut", (("p00005", "c03"), ("c02", "p00000", "origin-b", "p00004"), 1.9, True)),
         ]
     )
+
+
+def test_restart_under_loss_ends_with_the_latest_position() -> None:
+    """The parent catches up by ranges while a child does, which must not wait for ever."""
+    play(
+        [
+            (10.0, "trouble", ("full", 1.76)),
+            (10.49, "change", {"shard/000002": None, "bad/1": None, "a": None}),
+            (11.0, "restart", ("p00001", 3.95, False)),
+            (11.5, "change", {"bad/1": None}),
+            (13.4, "lossy", (5.89, 0.3333333333333333, True)),
+            (16.34, "change", {"bad/1": b""}),
+            (16.59, "large", 54),
+            (16.91, "change", {"shard/000001": b"0\xe1\x92", "b": b"", "bad/1": None, "bad/2": None}),
+            (17.13, "change", {"a": None, "bad/2": b""}),
+            (17.77, "take over", None),
+            (18.47, "trouble", ("full", 2.75)),
+            (
+                20.0,
+                "cut",
+                (("p00004", "p00002"), ("p00001", "p00004", "p00005", "c01", "p00003"), 4.8, False),
+            ),
+        ]
+    )
