Deltas: a merged delta is never too large for the datagrams of one delta

Seen by operators, looked for after the catch-up that waited for ever: a proxy that is paused during some large revisions stays behind for good, neither catching up nor stale.

Cause: RevisionLog merges up to 128 KiB, DeltaSender sends 256 bodies of 940 bytes at most and sends nothing if there are more. Entries of a little over half a body go one into each, so two revisions of 64 KiB make 278 bodies: the log covers the child, so it waits for a delta, which is never sent.

Change: the limit of a merged delta follows from that of its datagrams (120,320 bytes, which are 255 bodies at the worst). A single revision (64 KiB, 139 bodies) always fitted.

Test: new, of five sizes of entries; the one of 471 bytes failed before, all pass.

--- a/ironmill/distribution/revision_log.py
+++ b/ironmill/distribution/revision_log.py
@@ -6,11 +6,13 @@
 from operator import attrgetter
 
 from ironmill.distribution.changes import merge_changes, packed_size
+from ironmill.distribution.messages import MAX_BODY_BYTES, MAX_CHUNKS
 from ironmill.distribution.revision import Delta, Position
 
 MAX_STEPS = 4096
 MAX_LOG_BYTES = 4 << 20
-MAX_DELTA_BYTES = 1 << 17  # of several steps merged into one
+# Of several steps merged into one. Of two bodies in a row one may be just over half full.
+MAX_DELTA_BYTES = MAX_CHUNKS * MAX_BODY_BYTES // 2
 
 _TARGET = attrgetter("target")
 
--- a/tests/unit/distribution/test_revision_log.py
+++ b/tests/unit/distribution/test_revision_log.py
@@ -4,10 +4,13 @@
 
 import random
 
-from ironmill.distribution.changes import Changes, packed_size
+import pytest
+
+from ironmill.distribution.changes import MAX_REVISION_BYTES, MAX_REVISION_CHANGES, Changes, packed_size
 from ironmill.distribution.keyspace import Keyspace
 from ironmill.distribution.revision import START, Delta, Position
 from ironmill.distribution.revision_log import MAX_DELTA_BYTES, RevisionLog
+from ironmill_testbed.faults.simulated_fleet import Plan, SimulatedFleet
 from tests.unit.distribution.keyspaces import applied
 
 
@@ -84,3 +87,22 @@
     following = log.delta_since(folded.target)
     assert following is not None
     assert following.base == folded.target
+
+
+@pytest.mark.parametrize("entry_bytes", [30, 312, 471, 600, 843])
+def test_merged_delta_fits_into_the_datagrams_of_one_delta(entry_bytes: int) -> None:
+    """A delta that the log covers and that cannot be sent would leave the child behind for ever."""
+    fleet = SimulatedFleet(Plan(proxies=3, control=2, regions=1, zones=1, entries=20))
+    fleet.converge()
+    fleet.pause("p00001", fleet.now + 2.5)
+    value_bytes = min(640, entry_bytes - 20)
+    key_bytes = entry_bytes - 3 - value_bytes
+    for revision in "abc":
+        keys = [
+            f"{revision}{at:04d}".ljust(key_bytes, "x") for at in range(MAX_REVISION_BYTES // entry_bytes)
+        ]
+        fleet.push(dict.fromkeys(keys[:MAX_REVISION_CHANGES], bytes(value_bytes)))
+        fleet.run(fleet.now + 0.3)
+    fleet.run(fleet.now + 10.0)
+    positions = {process.node.replica.applied_position for process in fleet.proxies}
+    assert positions == {fleet.disk.position}
