Membership: a member pings for a token before it requests the records of another view

Seen by operators: after a deploy of both seed machines with overlapping restarts, and no fault on any link, the two seeds see only each other for ever while all others see all members.

Cause: the restarted seed bootstraps a cluster after 1 s without contact; the others find it and observe it. It notices that their view differs, but StateSync.request_page echoed peer.token, which is set by acks alone: of an observer that it never pinged it is 0, so that the request is dropped as unproven, again and again.

Change: without a token of the last second the request is deferred, the member is pinged, and the request follows its ack. That also continues a sync of many pages whose token has expired.

--- a/ironmill/membership/member.py
+++ b/ironmill/membership/member.py
@@ -62,7 +62,7 @@
         self._detector = FailureDetector(
             self._state, self._broadcasts, self._pinger, self._health, self._agreement
         )
-        self._sync = StateSync(self._state, self._outbox)
+        self._sync = StateSync(self._state, self._outbox, self._pinger)
         self._joining = Joining(self._state, config.seeds, self._pinger, self._health, self._agreement)
         self._joining.start()
 
--- a/ironmill/membership/state_sync.py
+++ b/ironmill/membership/state_sync.py
@@ -4,14 +4,17 @@
 
 from msgspec import Struct
 
+from ironmill.membership.contact_tokens import ContactTokens
 from ironmill.membership.identity import Address
 from ironmill.membership.member_state import NEVER, MemberState
 from ironmill.membership.messages import StateSyncPage, StateSyncRequest
 from ironmill.membership.outbox import Outbox
+from ironmill.membership.pinging import Pinger
 
 MAX_PAGE_BYTES = 900  # of the records in one datagram
 MIN_SYNC_INTERVAL_S = 1.0  # between two syncs
 PATIENCE_PING_INTERVALS = 2.0  # in which gossip may remove the difference
+MAX_TOKEN_AGE_S = ContactTokens.ROTATION_INTERVAL_S  # so that the request arrives while it is accepted
 
 
 class ViewDifference(Struct):
@@ -21,15 +24,24 @@
     since: float
 
 
+class DeferredRequest(Struct, frozen=True):
+    """A request that waits for the ack of the member, which brings the token to echo."""
+
+    name: str
+    after: str
+
+
 class StateSync:
     """Compares digests of views and requests the records of another member."""
 
-    __slots__ = ("_difference", "_last_request_at", "_outbox", "_state")
+    __slots__ = ("_deferred", "_difference", "_last_request_at", "_outbox", "_pinger", "_state")
 
-    def __init__(self, state: MemberState, outbox: Outbox) -> None:
+    def __init__(self, state: MemberState, outbox: Outbox, pinger: Pinger) -> None:
         """Starts without a difference."""
         self._state = state
         self._outbox = outbox
+        self._pinger = pinger
+        self._deferred: DeferredRequest | None = None
         self._difference: ViewDifference | None = None
         self._last_request_at = NEVER
 
@@ -40,6 +52,10 @@
             if self._difference is not None and self._difference.name == name:
                 self._difference = None
             return
+        deferred = self._deferred
+        if deferred is not None and deferred.name == name and self._has_recent_token(name):
+            self.request_page(name, deferred.after)
+            return
         if self._difference is None:
             self._difference = ViewDifference(name, state.now)
         patience_s = PATIENCE_PING_INTERVALS * state.timing.ping_interval_s if state.is_joined else 0.0
@@ -49,14 +65,26 @@
             self.request_page(name, "")
 
     def request_page(self, name: str, after: str) -> None:
-        """Requests the records of the names after ``after``."""
+        """Requests the records of the names after ``after``.
+
+        A member that observes this one is not necessarily observed by it, so that there may be no token of it
+        or an old one: it is pinged first then, and the request follows its ack.
+        """
         state = self._state
         self._last_request_at = state.now
+        if not self._has_recent_token(name):
+            self._deferred = DeferredRequest(name, after)
+            self._pinger.ping(name)
+            return
+        self._deferred = None
         peer = state.peer(name)
         token = state.tokens.issue(name, peer.incarnation, state.now)
         request = StateSyncRequest(peer.token, token, after)
         self._outbox.send(name, state.address_of(name), request)
 
+    def _has_recent_token(self, name: str) -> bool:
+        return self._state.now - self._state.peer(name).last_ack_at <= MAX_TOKEN_AGE_S
+
     def send_page(self, name: str, source: Address, request: StateSyncRequest) -> None:
         """Answers a request with as many records as fit into one datagram."""
         records, is_last = self._state.view.page(request.after, MAX_PAGE_BYTES)
--- a/tests/unit/membership/test_member.py
+++ b/tests/unit/membership/test_member.py
@@ -20,6 +20,7 @@
 COUNT = 14
 NAMES = tuple(f"p{at:05d}" for at in range(COUNT))
 SEEDS = (1, 2, 3)
+MAX_CONVERGENCE_S = 10.0  # after the last fault has ended
 
 
 def converged_cluster(*faults: Fault, seed: int = 1, count: int = COUNT) -> SimulatedCluster:
@@ -196,6 +197,20 @@
     assert not changes_by_cause(cluster, ChangeCause.BOOTSTRAPPED)
 
 
+@pytest.mark.parametrize("count", [5, 9])
+def test_seeds_whose_restarts_overlap_merge_with_the_other_members(count: int) -> None:
+    """The seeds start a cluster of their own, which must not stay apart from the members that know of it."""
+    for seed in range(20):
+        cluster = SimulatedCluster(count, seed=seed)
+        cluster.start_converged()
+        cluster.schedule(3.6, cluster.leave, NAMES[1])
+        cluster.schedule(5.35, cluster.leave, NAMES[0])
+        cluster.schedule(5.63, cluster.start, NAMES[0])
+        cluster.schedule(6.9, cluster.start, NAMES[1])
+        cluster.run(7.0)
+        assert_agree_within(cluster, MAX_CONVERGENCE_S, NAMES[:count], NAMES[:count])
+
+
 def test_removed_member_is_forgotten_and_can_join_again() -> None:
     options = ClusterOptions(timing=Timing(forget_delay_s=50.0))
     cluster = SimulatedCluster(COUNT, seed=2, options=options)
