Membership: the ping that checks a reported removal carries it, so that it is refuted

Seen by operators: after two partitions one member sees seven of nine for ever, the others all.

Cause: each side of a partition that has healed checks reported removals by a ping and drops those that the ping contradicts. The removed member itself does not learn of the report, and only it can make the record that supersedes both. Views then differ by records that each side keeps: higher transitions on one, contradicted there and dropped on the other.

Change: Pinger.ping sends a reported removal along in its updates. With proven contact the member takes it as its own record and refutes it, or rejoins if it was not healthy.

--- a/ironmill/membership/pinging.py
+++ b/ironmill/membership/pinging.py
@@ -51,14 +51,21 @@
     def ping(
         self, name: str, relay: RelayRequest | None = None, reported: MemberRecord | None = None
     ) -> None:
-        """Pings a member. ``reported`` is a record that gives the address of a member not yet in the view."""
+        """Pings a member.
+
+        ``reported`` is a record of it that own observations contradict. It gives the address of a member that
+        is not yet in the view. A removal travels along, so that the member can refute it.
+        """
         address = self._state.address_of(name, reported)
         token = self._state.peer(name).token
-        self._outbox.send(name, address, self._build_ping(name, relay, token))
+        updates: list[Raw] = []
+        if reported is not None and not reported.is_present:
+            updates.append(Raw(encode_update(reported)))
+        self._outbox.send(name, address, self._build_ping(name, relay, token, updates))
 
     def ping_unknown(self, address: Address, name: str = "") -> None:
         """Pings an address whose member, token and name may be unknown, such as a seed."""
-        self._outbox.send(name, address, self._build_ping("", None, 0))
+        self._outbox.send(name, address, self._build_ping("", None, 0, []))
 
     def ping_indirectly(self, subject: str) -> None:
         """Requests some random members to ping the subject and to relay its ack."""
@@ -139,10 +146,11 @@
         names.sort(key=lambda name: state.peer(name).last_contact_at < oldest)
         return names
 
-    def _build_ping(self, name: str, relay: RelayRequest | None, token: int) -> Ping:
+    def _build_ping(self, name: str, relay: RelayRequest | None, token: int, updates: list[Raw]) -> Ping:
         state = self._state
         number = self._register(name, relay)
-        updates = [] if state.is_joined else [Raw(encode_update(state.record))]
+        if not state.is_joined:
+            updates = [*updates, Raw(encode_update(state.record))]
         # Gossip to a dead member is lost, and each update is sent a limited number of times.
         if name and state.now - state.peer(name).last_contact_at <= INDIRECT_PING_DELAY_S:
             updates = self._broadcasts.take(state.view, updates)
--- /dev/null
+++ b/tests/unit/membership/test_random_schedules.py
@@ -0,0 +1,105 @@
+"""Random schedules of faults: once they have ended, all members soon have the same view, and keep it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from msgspec import Struct
+
+from ironmill_testbed.faults.schedule import Fault, both_ways
+from ironmill_testbed.faults.simulated_cluster import SimulatedCluster
+
+BEGIN_S, END_S = 3.0, 20.0  # of the faults
+MAX_CONVERGENCE_S = 10.0  # after the end of all faults, even if all processes have just started
+STABLE_S = 15.0  # without a removal after that
+
+Act = tuple[float, str, Any]
+
+
+class Schedule(Struct, frozen=True):
+    """The members of a cluster, the seed of its draws, and what happens to it: when, what, and to whom."""
+
+    members: int
+    seed: int
+    acts: list[Act]
+
+
+def names(count: int) -> list[str]:
+    return [f"p{at:05d}" for at in range(count)]
+
+
+def end_of(at: float, length: float) -> float:
+    return min(END_S, round(at + length, 2))
+
+
+def faults_of(acts: list[Act]) -> list[Fault]:
+    """Returns the faults of links in a schedule."""
+    faults: list[Fault] = []
+    for at, kind, what in acts:
+        if kind == "cut":
+            sources, targets, length, both = what
+            one_way = [Fault("cut", at, end_of(at, length), sources, targets)]
+            faults += both_ways(at, end_of(at, length), sources, targets) if both else one_way
+        elif kind in ("loss", "duplicate", "delay"):
+            length, fraction, max_delay_s = what
+            faults.append(
+                Fault(kind, at, end_of(at, length), fraction=fraction, max_delay_s=max_delay_s)  # type: ignore[arg-type]
+            )
+    return faults
+
+
+def arrange(cluster: SimulatedCluster, acts: list[Act]) -> None:
+    """Schedules all other acts."""
+    for at, kind, what in acts:
+        if kind == "pause":
+            name, length = what
+            cluster.schedule(at, cluster.pause, name, end_of(at, length))
+        elif kind in ("kill", "leave"):
+            name, length, clock_offset_s = what
+            cluster.schedule(at, cluster.kill if kind == "kill" else cluster.leave, name)
+            cluster.schedule(end_of(at, length), revive, cluster, name, clock_offset_s)
+
+
+def revive(cluster: SimulatedCluster, name: str, clock_offset_s: float = 0.0) -> None:
+    if cluster.processes[name].member is None:
+        cluster.start(name, clock_offset_s)
+
+
+def play(schedule: Schedule) -> None:
+    """Runs a schedule, ends all faults, starts what does not run, and checks every view.
+
+    What observers suspect at the end of a fault may still be decided after it, so views are compared once the
+    time for convergence is over.
+    """
+    cluster = SimulatedCluster(schedule.members, faults_of(schedule.acts), schedule.seed)
+    cluster.start_converged()
+    arrange(cluster, schedule.acts)
+    cluster.run(END_S + 0.01)
+    for name in cluster.processes:
+        revive(cluster, name)
+    converged_at = END_S + MAX_CONVERGENCE_S
+    cluster.run(converged_at)
+    assert cluster.agree(), cluster.views()
+    cluster.run(converged_at + STABLE_S)
+    assert cluster.agree(), cluster.views()
+    assert cluster.removals(converged_at) == []
+
+
+def test_member_that_one_other_has_removed_refutes_the_removal() -> None:
+    """The others drop the report as their pings contradict it: only the removed one can correct it."""
+    rest = ("p00000", "p00001", "p00003", "p00004", "p00006", "p00007", "p00008")
+    some = ("p00004", "p00006", "p00008", "p00005", "p00002", "p00001")
+    play(
+        Schedule(
+            9,
+            113,
+            [
+                (3.24, "duplicate", (3.62, 0.3, 1.0)),
+                (5.74, "cut", (("p00005", "p00002"), rest, 7.86, True)),
+                (11.65, "cut", (some, ("p00004", "p00005", "p00000"), 3.27, True)),
+                (15.78, "pause", ("p00002", 0.99)),
+                (14.34, "leave", ("p00002", 2.12, -3600.0)),
+                (11.03, "pause", ("p00008", 6.84)),
+            ],
+        )
+    )
