Membership: a joining member brings its record to its observers itself

Seen by operators: a member that left and started again under loss stays out of all views.

Cause: its new record spreads by gossip, a limited number of times. Views are compared by the members that are present, so members that differ only in the record of an absent one have equal digests and never sync. The observers that still hold the earlier record do not ping the new process, and the others are no quorum.

While it is out its pings carry its record.

--- a/ironmill/membership/joining.py
+++ b/ironmill/membership/joining.py
@@ -14,6 +14,7 @@
 from ironmill.membership.self_health import SelfHealth
 from ironmill.membership.timing import (
     BOOTSTRAP_DELAY_S,
+    JOINING_OBSERVER_PING_INTERVAL_S,
     JOINING_SEED_PING_INTERVAL_S,
     SEED_PING_INTERVAL_S,
     TICK_INTERVAL_S,
@@ -46,6 +47,7 @@
         self._was_joined = False  # since this process started
         self._waiting_since = state.now  # for another member, before this seed starts a cluster
         self._next_seed_ping_at = state.now
+        self._next_observer_ping_at = state.now + JOINING_OBSERVER_PING_INTERVAL_S
         self._last_joined_ping_at = NEVER
 
     def start(self) -> None:
@@ -57,10 +59,14 @@
         self._was_joined = self._was_joined or self._state.is_joined
 
     def run(self) -> None:
-        """Starts a cluster if this seed has waited long enough; pings a seed if that is due."""
-        state = self._state
+        """Starts a cluster if this seed has waited long enough; pings seeds and observers if that is due."""
         if self._may_bootstrap():
-            self._agreement.apply_own(state.record.transitions + 1, ChangeCause.BOOTSTRAPPED)
+            self._agreement.apply_own(self._state.record.transitions + 1, ChangeCause.BOOTSTRAPPED)
+        self._ping_seed()
+        self._ping_observers()
+
+    def _ping_seed(self) -> None:
+        state = self._state
         if state.now < self._next_seed_ping_at or not self._seeds:
             return
         needs_contact = not state.is_joined or self._health.is_isolated
@@ -72,6 +78,20 @@
         if seeds:
             self._pinger.ping_unknown(state.rng.choice(seeds))
 
+    def _ping_observers(self) -> None:
+        """Brings the own record to the members that decide on it, while this one is out of the view.
+
+        Views are compared by the members that are present. A record that gossip has not brought to all
+        observers of an absent member would therefore never reach them.
+        """
+        state = self._state
+        if state.is_joined:
+            self._next_observer_ping_at = state.now + JOINING_OBSERVER_PING_INTERVAL_S
+        elif state.now >= self._next_observer_ping_at:
+            self._next_observer_ping_at = state.now + JOINING_OBSERVER_PING_INTERVAL_S
+            for name in state.view.observers(state.name):
+                self._pinger.ping(name)
+
     def on_ping_of_joined_member(self, name: str, source: Address) -> None:
         """Pings back a member of a view, to join there rather than to start a second cluster."""
         state = self._state
--- a/tests/unit/membership/test_random_schedules.py
+++ b/tests/unit/membership/test_random_schedules.py
@@ -103,3 +103,35 @@
             ],
         )
     )
+
+
+def test_rejoining_member_reaches_observers_that_gossip_has_not_reached() -> None:
+    """Two of its four observers know only that it has left, and views are the same without it."""
+    play(
+        Schedule(
+            5,
+            136,
+            [
+                (13.34, "duplicate", (2.25, 0.3, 1.0)),
+                (17.7, "loss", (2.3, 0.26, 0.0)),
+                (10.9, "loss", (2.54, 0.55, 0.0)),
+                (13.21, "loss", (0.96, 0.06, 0.0)),
+                (13.1, "delay", (6.39, 0.5, 1.04)),
+                (11.17, "cut", (("p00000", "p00001"), ("p00004", "p00003"), 4.3, True)),
+                (15.32, "loss", (4.68, 0.44, 0.0)),
+                (7.75, "cut", (("p00000", "p00004", "p00002"), ("p00000", "p00004", "p00003"), 4.4, True)),
+                (6.7, "leave", ("p00003", 1.94, 3600.0)),
+            ],
+        )
+    )
+
+
+def test_member_that_returns_under_loss_is_admitted() -> None:
+    """It has left, and the loss ends half a second after its start."""
+    play(
+        Schedule(
+            9,
+            14,
+            [(15.0, "loss", (5.0, 0.58, 0.0)), (15.05, "leave", ("p00003", 4.55, 0.0))],
+        )
+    )
