Membership: a process does not withdraw in favour of its own ended predecessor

Seen by operators: a process that restarts with its wall clock set back logs "superseded" and takes part no more, with no other process of its name anywhere.

Cause: Joining.on_own_record takes a higher incarnation of the own name for a newer process that runs, once this one has been in a view. A seed that bootstraps has been in its own view before it hears of the earlier incarnation, and so has a member of a cluster that a seed has started.

Change: a record that says "left", or whose address is the own one, is of a process that has ended; the name is reclaimed under a higher incarnation. The address is believed three times, as machines behind a translation of addresses may listen at the same one. A datagram from a process of the own name supersedes as before.

--- a/ironmill/membership/joining.py
+++ b/ironmill/membership/joining.py
@@ -22,6 +22,7 @@
 from ironmill.membership.view_agreement import ViewAgreement
 
 MIN_JITTER_FACTOR, JITTER_RANGE = 0.75, 0.5  # varies intervals by a quarter in both directions
+MAX_RECLAIMS = 3  # of the name while joined
 JOINED_MEMBER_PING_INTERVAL_S = 2.0 * TICK_INTERVAL_S
 
 
@@ -45,6 +46,7 @@
         self._seeds = [seed for seed in seeds if seed != own_address]
         self._seed_rank = seeds.index(own_address) if own_address in seeds else None
         self._was_joined = False  # since this process started
+        self._reclaims = 0  # of the name, from an earlier process at the same address
         self._waiting_since = state.now  # for another member, before this seed starts a cluster
         self._next_seed_ping_at = state.now
         self._next_observer_ping_at = state.now + JOINING_OBSERVER_PING_INTERVAL_S
@@ -104,7 +106,7 @@
         """Handles a record with the own name that another member sent."""
         own = self._state.record
         if record.identity.incarnation > self._state.identity.incarnation:
-            if self._was_joined:
+            if self._was_joined and not self._has_ended(record):
                 self.supersede(record.identity.incarnation)
             else:
                 # An earlier process of this name, whose wall clock was ahead. If instead both run, the one
@@ -118,6 +120,19 @@
             else:
                 self._agreement.apply_own(record.transitions, ChangeCause.GOSSIP)
 
+    def _has_ended(self, record: MemberRecord) -> bool:
+        """Returns whether a record of the own name is of a process that does not run any more.
+
+        That is so if it has left, or if it listened where this process listens now. Behind a translation of
+        addresses two machines may listen at the same one, so the latter is believed a few times only.
+        """
+        if record.left:
+            return True
+        if record.identity.address != self._state.identity.address:
+            return False
+        self._reclaims += 1
+        return self._reclaims <= MAX_RECLAIMS
+
     def supersede(self, newer_incarnation: int) -> None:
         """Withdraws permanently, because a newer process uses the name."""
         self._state.is_superseded = True
--- a/tests/unit/membership/test_random_schedules.py
+++ b/tests/unit/membership/test_random_schedules.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 from msgspec import Struct
 
 from ironmill_testbed.faults.schedule import Fault, both_ways
@@ -85,26 +87,46 @@
     assert cluster.removals(converged_at) == []
 
 
-def test_member_that_one_other_has_removed_refutes_the_removal() -> None:
-    """The others drop the report as their pings contradict it: only the removed one can correct it."""
-    rest = ("p00000", "p00001", "p00003", "p00004", "p00006", "p00007", "p00008")
-    some = ("p00004", "p00006", "p00008", "p00005", "p00002", "p00001")
-    play(
-        Schedule(
-            9,
-            113,
-            [
-                (3.24, "duplicate", (3.62, 0.3, 1.0)),
-                (5.74, "cut", (("p00005", "p00002"), rest, 7.86, True)),
-                (11.65, "cut", (some, ("p00004", "p00005", "p00000"), 3.27, True)),
-                (15.78, "pause", ("p00002", 0.99)),
-                (14.34, "leave", ("p00002", 2.12, -3600.0)),
-                (11.03, "pause", ("p00008", 6.84)),
-            ],
-        )
+_AT = st.floats(BEGIN_S, END_S - 1.0).map(lambda at: round(at, 2))
+_LENGTH = st.floats(0.2, 8.0).map(lambda length: round(length, 2))
+_CLOCK_OFFSET_S = st.sampled_from([0.0, 0.0, 0.0, -5.0, 5.0, -3600.0, 3600.0])
+
+
+def _acts(members: int) -> st.SearchStrategy[Act]:
+    name = st.sampled_from(names(members))
+    some = st.lists(name, min_size=1, max_size=members - 1, unique=True).map(tuple)
+    end = st.tuples(name, _LENGTH, _CLOCK_OFFSET_S)
+    return st.one_of(
+        st.tuples(_AT, st.just("pause"), st.tuples(name, _LENGTH)),
+        st.tuples(_AT, st.just("kill"), end),
+        st.tuples(_AT, st.just("leave"), end),
+        st.tuples(_AT, st.just("leave"), end),
+        st.tuples(_AT, st.just("cut"), st.tuples(some, some, _LENGTH, st.booleans())),
+        st.tuples(_AT, st.just("cut"), st.tuples(some, some, _LENGTH, st.booleans())),
+        st.tuples(_AT, st.just("loss"), st.tuples(_LENGTH, st.floats(0.05, 0.6), st.just(0.0))),
+        st.tuples(_AT, st.just("duplicate"), st.tuples(_LENGTH, st.just(0.3), st.just(1.0))),
+        st.tuples(_AT, st.just("delay"), st.tuples(_LENGTH, st.just(0.5), st.floats(0.1, 1.5))),
     )
 
 
+@st.composite
+def schedules(draw: st.DrawFn) -> Schedule:
+    members = draw(st.sampled_from([5, 5, 9]))
+    acts = draw(st.lists(_acts(members), min_size=2, max_size=12))
+    return Schedule(members, draw(st.integers(0, 1 << 16)), sorted(acts, key=lambda act: act[0]))
+
+
+@settings(
+    max_examples=80,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+@given(schedules())
+def test_whatever_happens_all_members_soon_have_the_same_view(schedule: Schedule) -> None:
+    play(schedule)
+
+
 def test_rejoining_member_reaches_observers_that_gossip_has_not_reached() -> None:
     """Two of its four observers know only that it has left, and views are the same without it."""
     play(
@@ -126,6 +148,44 @@
     )
 
 
+def test_seed_restarted_under_an_earlier_clock_reclaims_its_name() -> None:
+    """It starts a cluster before it hears of its earlier process, which has left and runs no more."""
+    play(
+        Schedule(
+            5,
+            83,
+            [
+                (14.35, "loss", (5.65, 0.29, 0.0)),
+                (5.9, "duplicate", (7.35, 0.3, 1.0)),
+                (13.41, "leave", ("p00000", 1.27, -5.0)),
+                (9.23, "kill", ("p00000", 0.23, 5.0)),
+                (13.16, "leave", ("p00004", 4.53, -5.0)),
+                (7.72, "kill", ("p00001", 7.69, 0.0)),
+            ],
+        )
+    )
+
+
+def test_member_that_one_other_has_removed_refutes_the_removal() -> None:
+    """The others drop the report as their pings contradict it: only the removed one can correct it."""
+    rest = ("p00000", "p00001", "p00003", "p00004", "p00006", "p00007", "p00008")
+    some = ("p00004", "p00006", "p00008", "p00005", "p00002", "p00001")
+    play(
+        Schedule(
+            9,
+            113,
+            [
+                (3.24, "duplicate", (3.62, 0.3, 1.0)),
+                (5.74, "cut", (("p00005", "p00002"), rest, 7.86, True)),
+                (11.65, "cut", (some, ("p00004", "p00005", "p00000"), 3.27, True)),
+                (15.78, "pause", ("p00002", 0.99)),
+                (14.34, "leave", ("p00002", 2.12, -3600.0)),
+                (11.03, "pause", ("p00008", 6.84)),
+            ],
+        )
+    )
+
+
 def test_member_that_returns_under_loss_is_admitted() -> None:
     """It has left, and the loss ends half a second after its start."""
     play(
