Membership: the status names members whose view has differed for over 10 s

Operators could not tell from the status of a member that its view is not the others': each of two clusters that stayed apart showed a sound view.

Change: each member notes since when the digest of another one in contact has differed. GET /admin/members has "differs", the command a line "another view", once that has lasted for 10 s, the time within which all views are the same after the last fault.

--- a/ironmill/commands/members.py
+++ b/ironmill/commands/members.py
@@ -50,6 +50,7 @@
     members: list[MemberEntry]
     removed: list[MemberEntry] = msgspec.field(name="out")
     dropped: dict[str, int]
+    differing_s: dict[str, float] = msgspec.field(name="differs", default_factory=dict)
 
     @property
     def state(self) -> str:
@@ -87,6 +88,9 @@
     count = len(report.members)
     yield f"{report.name} is {report.state} of {report.cluster}, view {report.view}, {count} in it"
     yield from _format_table([*report.members, *report.removed])
+    if report.differing_s:
+        others = (f"{name} for {since_s:.0f} s" for name, since_s in sorted(report.differing_s.items()))
+        yield "another view: " + ", ".join(others)
     if report.dropped:
         counts = (f"{count} {reason}" for reason, count in sorted(report.dropped.items()))
         yield "dropped: " + ", ".join(counts)
--- a/ironmill/membership/member.py
+++ b/ironmill/membership/member.py
@@ -107,6 +107,10 @@
         """Returns the records of the members in the view, by name."""
         return self._state.view.members()
 
+    def lasting_differences(self) -> dict[str, float]:
+        """Returns the members in contact whose view has differed for too long, and for how many seconds."""
+        return self._sync.lasting_differences()
+
     # Inputs
 
     def tick(self, now: float) -> list[Datagram]:
--- a/ironmill/membership/member_state.py
+++ b/ironmill/membership/member_state.py
@@ -35,6 +35,7 @@
     opinion_sent_at: float = NEVER
     quorum_since: float = NEVER  # since when a quorum supports a change
     changed_at: float = 0.0  # the last change of its record
+    differs_since: float = math.inf  # since when its view is another one; infinite if it is the same
 
 
 class MemberState:
--- a/ironmill/membership/state_sync.py
+++ b/ironmill/membership/state_sync.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from msgspec import Struct
 
 from ironmill.membership.contact_tokens import ContactTokens
@@ -10,6 +12,7 @@
 from ironmill.membership.messages import StateSyncPage, StateSyncRequest
 from ironmill.membership.outbox import Outbox
 from ironmill.membership.pinging import Pinger
+from ironmill.membership.timing import MAX_CONVERGENCE_S
 
 MAX_PAGE_BYTES = 900  # of the records in one datagram
 MIN_SYNC_INTERVAL_S = 1.0  # between two syncs
@@ -48,10 +51,13 @@
     def compare(self, name: str, digest: int) -> None:
         """Compares the digest of another member's view; starts a sync if a difference has lasted."""
         state = self._state
+        peer = state.peer(name)
         if digest == state.view.digest:
+            peer.differs_since = math.inf
             if self._difference is not None and self._difference.name == name:
                 self._difference = None
             return
+        peer.differs_since = min(peer.differs_since, state.now)
         deferred = self._deferred
         if deferred is not None and deferred.name == name and self._has_recent_token(name):
             self.request_page(name, deferred.after)
@@ -64,6 +70,16 @@
             self._difference = None
             self.request_page(name, "")
 
+    def lasting_differences(self) -> dict[str, float]:
+        """Returns the members in contact whose view has differed for too long, and for how many seconds."""
+        state = self._state
+        in_contact_since = state.now - state.timing.max_detection_s
+        return {
+            name: state.now - peer.differs_since
+            for name, peer in state.peers.items()
+            if peer.last_contact_at >= in_contact_since and state.now - peer.differs_since > MAX_CONVERGENCE_S
+        }
+
     def request_page(self, name: str, after: str) -> None:
         """Requests the records of the names after ``after``.
 
--- a/ironmill/membership/timing.py
+++ b/ironmill/membership/timing.py
@@ -20,6 +20,7 @@
 SEED_PING_INTERVAL_S = 2.0  # to a seed that is not in the view
 JOINING_SEED_PING_INTERVAL_S = 0.25  # the same while joining or isolated
 JOINING_OBSERVER_PING_INTERVAL_S = 1.5  # to the own observers; joining takes less as a rule
+MAX_CONVERGENCE_S = 10.0  # after the last fault, until all members have the same view
 BOOTSTRAP_DELAY_S = 1.0  # until the first seed starts a cluster; each further one waits twice this longer
 
 
--- a/ironmill/net/membership.py
+++ b/ironmill/net/membership.py
@@ -88,6 +88,7 @@
                 {"name": record.identity.name, "state": "left" if record.left else "out"}
                 for record in removed
             ],
+            "differs": {name: round(since_s, 1) for name, since_s in member.lasting_differences().items()},
             "dropped": member.dropped,
         }
         return ApiResponse(HTTPStatus.OK, msgspec.json.encode(body) + b"\n")
--- a/tests/unit/membership/test_member.py
+++ b/tests/unit/membership/test_member.py
@@ -6,13 +6,14 @@
 from collections.abc import Iterator
 
 import pytest
+from msgspec import structs
 
 from ironmill.membership import events
 from ironmill.membership.codec import Codec
 from ironmill.membership.events import ChangeCause, ViewChanged
 from ironmill.membership.identity import MemberIdentity
 from ironmill.membership.member import Member
-from ironmill.membership.messages import Ping
+from ironmill.membership.messages import MemberRecord, Ping
 from ironmill.membership.timing import Timing
 from ironmill_testbed.faults.schedule import Fault, both_ways
 from ironmill_testbed.faults.simulated_cluster import KEY, ClusterOptions, SimulatedCluster
@@ -211,6 +212,22 @@
         assert_agree_within(cluster, MAX_CONVERGENCE_S, NAMES[:count], NAMES[:count])
 
 
+def test_view_that_differs_for_long_is_in_the_status_of_both_members() -> None:
+    """Views that stay apart must not look like sound ones."""
+    cluster = converged_cluster(count=5)
+    one, other = member_of(cluster, NAMES[0]), member_of(cluster, NAMES[1])
+    one.view.apply(
+        MemberRecord(structs.replace(one.identity, name="ghost"), 2)
+    )  # a record that never spreads
+    one.view.page = lambda after, max_bytes: ([], True)  # type: ignore[method-assign]
+    cluster.run(cluster.now + MAX_CONVERGENCE_S)
+    assert NAMES[1] not in one.lasting_differences()
+    cluster.run(cluster.now + 4.0)
+    assert one.lasting_differences()[NAMES[1]] > MAX_CONVERGENCE_S
+    assert other.lasting_differences()[NAMES[0]] > MAX_CONVERGENCE_S
+    assert NAMES[2] not in other.lasting_differences()
+
+
 def test_removed_member_is_forgotten_and_can_join_again() -> None:
     options = ClusterOptions(timing=Timing(forget_delay_s=50.0))
     cluster = SimulatedCluster(COUNT, seed=2, options=options)
