Testbed: a proxy is stale 5 s after the last news of the origin that could reach it

The product was right, the check was wrong.

Cause: the observer counted 5 s from the time at which a proxy lost contact with all relays that have an origin. In that schedule a cut ends after the origin has ended, so that a relay tells the proxy how long ago it heard from the origin, later than the cut began.

Evidence: traced: cut at 10.0 s, origin ends at 13.28 s, cut ends at 14.22 s; the relay says 1.318 s at 14.45 s; the proxy is stale at 17.14 s, 4.018 s after the last sign of the origin.

Change: the time counts from the last moment at which a relay that reaches the proxy has heard from an origin; a relay that starts has heard nothing.

--- a/ironmill_testbed/faults/fleet_observer.py
+++ b/ironmill_testbed/faults/fleet_observer.py
@@ -1,7 +1,8 @@
 """Checks the guarantees of distribution while a simulated fleet runs.
 
 A proxy is reachable if it runs, is not paused, and has links both ways to a relay that has links both ways to
-a running origin.
+a running origin. Otherwise it has to be stale ``MAX_STALENESS_DETECTION_S`` after the last time at which a
+relay that reaches it has heard from an origin.
 """
 
 from __future__ import annotations
@@ -61,7 +62,7 @@
     applied_position: Position = START  # of this incarnation
     highest_position: Position = START  # of all its incarnations
     reachable_since: float = math.inf  # infinite while it is unreachable
-    cut_since: float = math.inf  # infinite while it is reachable
+    origin_heard_until: float = math.inf  # infinite while it is reachable; of a relay while it has an origin
     target: Position | None = None  # to be applied within MAX_CATCH_UP_S of contact
     orphan_since: float = math.inf
     is_rejecting: bool = False
@@ -97,7 +98,10 @@
     def on_started(self, process: FleetProcess) -> None:
         """Takes the start of a process, which has no configuration yet."""
         highest_position = self.processes[process.name].highest_position
-        self.processes[process.name] = ObservedProcess(highest_position=highest_position)
+        observed = ObservedProcess(highest_position=highest_position)
+        if process.role == "relay":
+            observed.origin_heard_until = -math.inf
+        self.processes[process.name] = observed
         self.traffic.reset(process.name)
 
     def on_state_set(self, position: Position) -> None:
@@ -113,7 +117,7 @@
         """Takes the end of a process."""
         observed = self.processes[process.name]
         observed.reachable_since = math.inf
-        observed.cut_since = math.inf
+        observed.origin_heard_until = math.inf
         observed.orphan_since = math.inf
         observed.target = None
         if process.role == "relay":
@@ -139,6 +143,7 @@
     def update_reachability(self, only: FleetProcess | None = None) -> None:
         """Determines which proxies are reachable: one, or all."""
         relays = self._connected_relays()
+        self._update_relays(relays)
         proxies = self._fleet.proxies if only is None or only.role != "subscriber" else [only]
         for proxy in proxies:
             if proxy.node is None:
@@ -165,9 +170,18 @@
             if fleet.is_running(relay) and any(self._has_link(relay.name, origin.name) for origin in origins)
         ]
 
+    def _update_relays(self, connected: Sequence[FleetProcess]) -> None:
+        """Notes until when each relay has heard from an origin."""
+        for relay in self._fleet.relays:
+            observed = self.processes[relay.name]
+            if relay in connected:
+                observed.origin_heard_until = math.inf
+            elif observed.origin_heard_until == math.inf:
+                observed.origin_heard_until = self._fleet.now
+
     def _mark_reachable(self, proxy: FleetProcess) -> None:
         observed = self.processes[proxy.name]
-        observed.cut_since = math.inf
+        observed.origin_heard_until = math.inf
         if observed.reachable_since == math.inf:
             observed.reachable_since = self._fleet.now
             is_behind = observed.applied_position < self.latest_position
@@ -178,17 +192,30 @@
         observed.reachable_since = math.inf
         observed.target = None
         if not is_running:
-            observed.cut_since = math.inf  # it cannot report anything
-        elif observed.cut_since == math.inf:
-            observed.cut_since = now
-            self._fleet.schedule(now + MAX_STALENESS_DETECTION_S, self._check_staleness, proxy, node, now)
+            observed.origin_heard_until = math.inf  # it cannot report anything
+            return
+        heard_until = now if observed.origin_heard_until == math.inf else observed.origin_heard_until
+        heard_until = max(heard_until, self._heard_by_linked_relays(proxy))
+        if heard_until != observed.origin_heard_until:
+            observed.origin_heard_until = heard_until
+            deadline = max(now, heard_until + MAX_STALENESS_DETECTION_S)
+            self._fleet.schedule(deadline, self._check_staleness, proxy, node, heard_until)
+
+    def _heard_by_linked_relays(self, proxy: FleetProcess) -> float:
+        """Returns until when the relays that tell a proxy of the origin have heard from it themselves."""
+        heard = (
+            self.processes[relay.name].origin_heard_until
+            for relay in self._fleet.relays
+            if self._fleet.is_running(relay) and self._has_link(proxy.name, relay.name)
+        )
+        return max(heard, default=-math.inf)
 
     def _has_link(self, name: str, other: str) -> bool:
         now, links = self._fleet.now, self._fleet.links
         return not links.is_cut(now, name, other) and not links.is_cut(now, other, name)
 
     def _check_staleness(self, process: FleetProcess, node: Node, since: float) -> None:
-        if process.node is node and self.processes[process.name].cut_since == since:
+        if process.node is node and self.processes[process.name].origin_heard_until == since:
             assert isinstance(node, ProxyNode)
             if not node.subscriber.freshness.is_stale:
                 self.stale_unnoticed += 1
--- a/tests/unit/distribution/test_random_schedules.py
+++ b/tests/unit/distribution/test_random_schedules.py
@@ -281,13 +281,17 @@
     return fleet
 
 
+def schedules() -> st.SearchStrategy[list[Act]]:
+    return st.lists(_ACTS, min_size=4, max_size=24)
+
+
 @settings(
     max_examples=120,
     derandomize=True,
     deadline=None,
     suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
 )
-@given(st.lists(_ACTS, min_size=4, max_size=24))
+@given(schedules())
 def test_whatever_happens_each_process_is_a_prefix_of_one_history(acts: list[Act]) -> None:
     play(acts)
 
@@ -353,3 +357,21 @@
             ),
         ]
     )
+
+
+def test_relay_that_has_heard_later_from_the_origin_makes_the_configuration_fresher() -> None:
+    """A proxy is cut off, the origin ends, then a relay tells the proxy when it last heard from it."""
+    play(
+        [
+            (6.98, "cut", (("p00000",), ("p00004", "p00000", "c03", "p00003", "c01"), 4.51, False)),
+            (7.0, "restart", ("p00005", 5.06, True)),
+            (9.65, "revert", 4),
+            (
+                10.0,
+                "cut",
+                (("c01", "origin-b", "p00000", "p00001", "c02"), ("c03", "p00002", "p00001"), 4.22, False),
+            ),
+            (13.28, "restart", ("origin", 4.39, True)),
+            (15.67, "restart", ("c03", 2.94, True)),
+        ]
+    )
