Golden datagrams: messages are built by keyword, and exchanged fields are noticed

Change: all structs of the golden messages are built by keyword; the stored bytes are as they were. A test shows for each array-like struct that exchanging any two of its fields changes recorded bytes, and another that every such struct is recorded.

--- a/tests/golden/messages.py
+++ b/tests/golden/messages.py
@@ -14,96 +14,210 @@
 
 KEY, OLDER_KEY = bytes(range(32)), bytes(range(100, 116))
 CLUSTER = "pos-east"
-SENDER = MemberIdentity("n1", "10.0.0.4", 7946, "a", "east", 1764700000123)
-OTHER = MemberIdentity("n2", "10.0.0.5", 7946, "b", "east", 1764700000456)
+SENDER = MemberIdentity(
+    name="n1", host="10.0.0.4", port=7946, zone="a", region="east", incarnation=1764700000123
+)
+OTHER = MemberIdentity(
+    name="n2", host="10.0.0.5", port=7946, zone="b", region="east", incarnation=1764700000456
+)
 
 RECORDS = {
-    "joined": membership.MemberRecord(SENDER, 0),
-    "out": membership.MemberRecord(OTHER, 3),
-    "left": membership.MemberRecord(OTHER, 4, True),
+    "joined": membership.MemberRecord(identity=SENDER, transitions=0),
+    "out": membership.MemberRecord(identity=OTHER, transitions=3),
+    "left": membership.MemberRecord(identity=OTHER, transitions=4, left=True),
 }
 OPINIONS = {
-    "accuses": membership.Opinion("n1", "n2", 1764700000456, 0, 17, membership.SUSPECT),
-    "nothing": membership.Opinion("n1", "n2", 1764700000456, 0, 18, membership.NEUTRAL),
-    "vouches": membership.Opinion("n1", "n2", 1764700000456, 1, 19, membership.ALIVE),
+    "accuses": membership.Opinion(
+        observer="n1",
+        subject="n2",
+        incarnation=1764700000456,
+        transitions=0,
+        stamp=17,
+        value=membership.SUSPECT,
+    ),
+    "nothing": membership.Opinion(
+        observer="n1",
+        subject="n2",
+        incarnation=1764700000456,
+        transitions=0,
+        stamp=18,
+        value=membership.NEUTRAL,
+    ),
+    "vouches": membership.Opinion(
+        observer="n1",
+        subject="n2",
+        incarnation=1764700000456,
+        transitions=1,
+        stamp=19,
+        value=membership.ALIVE,
+    ),
 }
 UPDATES = [Raw(membership_codec.encode_update(one)) for one in (*RECORDS.values(), *OPINIONS.values())]
 
 MEMBERSHIP: dict[str, membership.Message] = {
-    "ping": membership.Ping(7, 4_000_000_001, 0x1234567890ABCD, UPDATES),
-    "ping without rumours": membership.Ping(8, 0, 0, []),
-    "ack": membership.Ack(7, 77, 0x1234567890ABCD, UPDATES[:1]),
-    "ack passed on": membership.Ack(9, 0, 5, [], "n3"),
-    "seek": membership.IndirectPing(10, 3, "n3"),
-    "want": membership.StateSyncRequest(11, 12, "n1"),
-    "page": membership.StateSyncPage(12, list(RECORDS.values()), False),
-    "last page": membership.StateSyncPage(12, [], True),
+    "ping": membership.Ping(number=7, echo=4_000_000_001, digest=0x1234567890ABCD, updates=UPDATES),
+    "ping without rumours": membership.Ping(number=8, echo=0, digest=0, updates=[]),
+    "ack": membership.Ack(number=7, token=77, digest=0x1234567890ABCD, updates=UPDATES[:1]),
+    "ack passed on": membership.Ack(number=9, token=0, digest=5, updates=[], subject="n3"),
+    "seek": membership.IndirectPing(number=10, echo=3, subject="n3"),
+    "want": membership.StateSyncRequest(echo=11, token=12, after="n1"),
+    "page": membership.StateSyncPage(echo=12, records=list(RECORDS.values()), is_last=False),
+    "last page": membership.StateSyncPage(echo=12, records=[], is_last=True),
 }
 
 _HELD, _TARGET = Position(3, 17), Position(4, 300)
 _SUMMARY = distribution.FleetSummary(
-    False,
-    [distribution.ZoneSummary("a", 40, _HELD, 1, 2, 3), distribution.ZoneSummary("b", 41, _TARGET, 0, 0, 0)],
-    [
-        distribution.LaggingNode("n2", "b", _HELD, distribution.BEHIND),
-        distribution.LaggingNode("n3", "b", _HELD, distribution.REJECTING, "log.level", "no such level"),
-        distribution.LaggingNode("n4", "b", _HELD, distribution.UNREACHABLE),
+    converged=False,
+    zones=[
+        distribution.ZoneSummary(
+            zone="a", proxies=40, lowest_position=_HELD, rejecting=1, unreachable=2, stale=3
+        ),
+        distribution.ZoneSummary(
+            zone="b", proxies=41, lowest_position=_TARGET, rejecting=0, unreachable=0, stale=0
+        ),
+    ],
+    lagging_nodes=[
+        distribution.LaggingNode(name="n2", zone="b", applied_position=_HELD, state=distribution.BEHIND),
+        distribution.LaggingNode(
+            name="n3",
+            zone="b",
+            applied_position=_HELD,
+            state=distribution.REJECTING,
+            key="log.level",
+            reason="no such level",
+        ),
+        distribution.LaggingNode(name="n4", zone="b", applied_position=_HELD, state=distribution.UNREACHABLE),
     ],
-    5,
+    omitted=5,
 )
 
 DISTRIBUTION: dict[str, distribution.Message] = {
     "poll": distribution.Poll(
-        21,
-        22,
-        False,
-        0x1234567,
-        _HELD,
-        _HELD,
-        4,
-        2,
-        ["c1", "c2"],
-        "a",
-        1500,
-        _TARGET,
-        [0, 5],
-        Rejection("log.level", "no such level"),
-        _SUMMARY,
+        echo=21,
+        token=22,
+        is_probe=False,
+        lineage=0x1234567,
+        received_position=_HELD,
+        applied_position=_HELD,
+        term=4,
+        attach_count=2,
+        previous_parents=["c1", "c2"],
+        zone="a",
+        origin_age_ms=1500,
+        incomplete_target=_TARGET,
+        missing_chunks=[0, 5],
+        rejection=Rejection(key="log.level", reason="no such level"),
+        summary=_SUMMARY,
     ),
     "first poll": distribution.Poll(
-        0,
-        1,
-        True,
-        0,
-        Position(0, 0),
-        Position(0, 0),
-        0,
-        0,
-        [],
-        "none",
-        distribution.AGE_UNKNOWN,
-        Position(0, 0),
-        [],
+        echo=0,
+        token=1,
+        is_probe=True,
+        lineage=0,
+        received_position=Position(0, 0),
+        applied_position=Position(0, 0),
+        term=0,
+        attach_count=0,
+        previous_parents=[],
+        zone="none",
+        origin_age_ms=distribution.AGE_UNKNOWN,
+        incomplete_target=Position(0, 0),
+        missing_chunks=[],
+    ),
+    "word": distribution.PollResponse(
+        echo=22,
+        token=23,
+        lineage=0x1234567,
+        term=4,
+        latest_position=_TARGET,
+        origin_age_ms=20,
+        log_covers_child=True,
+        poll_count=99,
+        is_child=True,
     ),
-    "word": distribution.PollResponse(22, 23, 0x1234567, 4, _TARGET, 20, True, 99, True),
     "part": distribution.DeltaChunk(
-        22, 0x1234567, 4, _HELD, _TARGET, 0xFEDCBA9876543210, 1, 3, b"\x03abc\x00\x02x\x01d\x00\x00"
+        echo=22,
+        lineage=0x1234567,
+        term=4,
+        base=_HELD,
+        target=_TARGET,
+        digest=0xFEDCBA9876543210,
+        index=1,
+        count=3,
+        body=b"\x03abc\x00\x02x\x01d\x00\x00",
     ),
-    "ask": distribution.DigestRequest(24, 25, -1, 0),
-    "ask of a level": distribution.DigestRequest(24, 25, 0, 1),
+    "ask": distribution.DigestRequest(echo=24, token=25, level=-1, prefix=0),
+    "ask of a level": distribution.DigestRequest(echo=24, token=25, level=0, prefix=1),
     "digests": distribution.DigestResponse(
-        25, 0x1234567, _HELD, 0xFEDCBA9876543210, -1, 0, list(range(distribution.digest_count(-1)))
+        echo=25,
+        lineage=0x1234567,
+        position=_HELD,
+        root_digest=0xFEDCBA9876543210,
+        level=-1,
+        prefix=0,
+        digests=list(range(distribution.digest_count(-1))),
+    ),
+    "fetch": distribution.EntriesRequest(echo=26, token=27, number=1, leaf=2, after_key="abc", end_leaf=9),
+    "page": distribution.EntriesResponse(
+        echo=27,
+        lineage=0x1234567,
+        number=1,
+        position=_HELD,
+        next_leaf=3,
+        is_partial=True,
+        body=b"\x03abc\x00\x02x",
     ),
-    "fetch": distribution.EntriesRequest(26, 27, 1, 2, "abc", 9),
-    "page": distribution.EntriesResponse(27, 0x1234567, 1, _HELD, 3, True, b"\x03abc\x00\x02x"),
-    "leave": distribution.Leave(28),
-    "moved": distribution.ChildMoved("n2", 1764700000456, 3),
-    "noted": distribution.ChildMoveAck("n2", 3),
+    "leave": distribution.Leave(echo=28),
+    "moved": distribution.ChildMoved(name="n2", incarnation=1764700000456, attach_count=3),
+    "noted": distribution.ChildMoveAck(name="n2", attach_count=3),
     "sought": distribution.FindChildRequest(
-        [distribution.UnreachableChild("n2", "b", _HELD, 1764700000456, 3)]
+        children=[
+            distribution.UnreachableChild(
+                name="n2", zone="b", applied_position=_HELD, incarnation=1764700000456, attach_count=3
+            )
+        ]
+    ),
+}
+
+# With other values than above where two fields of a message had the same one in each.
+DISTINCT: dict[str, distribution.Message] = {
+    "poll of a rejecting child": distribution.Poll(
+        echo=21,
+        token=22,
+        is_probe=False,
+        lineage=0x1234567,
+        received_position=_TARGET,
+        applied_position=_HELD,
+        term=4,
+        attach_count=2,
+        previous_parents=["c1", "c2"],
+        zone="a",
+        origin_age_ms=1500,
+        incomplete_target=Position(5, 301),
+        missing_chunks=[0, 5],
+        rejection=Rejection(key="log.level", reason="no such level"),
+        summary=None,
+    ),
+    "word to a new child": distribution.PollResponse(
+        echo=22,
+        token=23,
+        lineage=0x1234567,
+        term=4,
+        latest_position=_TARGET,
+        origin_age_ms=20,
+        log_covers_child=False,
+        poll_count=99,
+        is_child=True,
     ),
 }
 
 
 def envelope(message: object, to: str, count: int) -> Envelope[object]:
-    return Envelope(CLUSTER, SENDER.name, SENDER.incarnation, to, count, message)
+    return Envelope(
+        cluster=CLUSTER,
+        sender=SENDER.name,
+        incarnation=SENDER.incarnation,
+        to=to,
+        count=count,
+        message=message,
+    )
--- a/tests/unit/test_golden.py
+++ b/tests/unit/test_golden.py
@@ -5,8 +5,10 @@
 import gzip
 import hashlib
 import io
+import itertools
 import shutil
 import sqlite3
+from collections.abc import Iterator, Sequence
 from http import HTTPStatus
 from pathlib import Path
 from types import SimpleNamespace
@@ -90,6 +92,72 @@
     assert codec.decode(data) == messages.envelope(message, "c1", 2000 + at)
 
 
+@pytest.mark.parametrize("at", range(len(messages.DISTINCT)))
+def test_datagrams_of_distinct_values_are_as_recorded(at: int) -> None:
+    kind, message = list(messages.DISTINCT.items())[at]
+    data = bytes.fromhex(recorded("datagrams_distinct.json")[kind])
+    _, codec = codecs()
+    assert codec.encode(messages.SENDER, "c1", 4000 + at, message) == data
+    assert codec.decode(data) == messages.envelope(message, "c1", 4000 + at)
+
+
+def structs_of(value: object) -> Iterator[msgspec.Struct]:
+    """Yields the structs that travel in a message."""
+    if isinstance(value, msgspec.Struct):
+        yield value
+        for name in value.__struct_fields__:
+            yield from structs_of(getattr(value, name))
+    elif isinstance(value, list | tuple):
+        for one in value:
+            yield from structs_of(one)
+
+
+def recorded_structs() -> dict[type[msgspec.Struct], list[msgspec.Struct]]:
+    """Returns the structs of all recorded datagrams and updates, by their type."""
+    groups = (
+        messages.RECORDS,
+        messages.OPINIONS,
+        messages.MEMBERSHIP,
+        messages.DISTRIBUTION,
+        messages.DISTINCT,
+    )
+    found: dict[type[msgspec.Struct], list[msgspec.Struct]] = {}
+    for message in (message for group in groups for message in group.values()):
+        for one in structs_of(messages.envelope(message, "n2", 1)):
+            found.setdefault(type(one), []).append(one)
+    return found
+
+
+ARRAY_STRUCTS = recorded_structs()
+
+
+def test_every_struct_that_travels_is_recorded() -> None:
+    modules = (membership, distribution)
+    defined = {
+        one
+        for module in modules
+        for one in vars(module).values()
+        if isinstance(one, type) and issubclass(one, msgspec.Struct) and one.__struct_config__.array_like
+    }
+    assert defined <= set(ARRAY_STRUCTS)
+
+
+@pytest.mark.parametrize("kind", ARRAY_STRUCTS, ids=lambda kind: kind.__name__)
+def test_two_fields_that_change_places_change_the_recorded_bytes(kind: type[msgspec.Struct]) -> None:
+    """Fields of the same value in all records could be exchanged unnoticed, and an older peer would not."""
+
+    def encoded(one: msgspec.Struct, names: Sequence[str]) -> bytes:
+        return msgspec.msgpack.encode([getattr(one, name) for name in names])
+
+    for one, other in itertools.combinations(kind.__struct_fields__, 2):
+        exchanged = {one: other, other: one}
+        names = [exchanged.get(name, name) for name in kind.__struct_fields__]
+        assert any(
+            encoded(example, names) != encoded(example, kind.__struct_fields__)
+            for example in ARRAY_STRUCTS[kind]
+        ), f"{one} and {other}"
+
+
 def test_every_recorded_datagram_is_of_a_known_kind() -> None:
     found = recorded("datagrams.json")
     assert list(found["membership"]) == list(messages.MEMBERSHIP)
