Store: a revision whose commit failed does not come into force after a kill

Cause: COMMIT writes the transaction to the write-ahead log and syncs it. If the sync alone fails, SQLite rolls back and leaves the frames in the log, complete and with right checksums. The next opening after a kill recovers them.

Evidence: by hand, fdatasync failing with EIO from the second revision's commit on (strace), three refused commits, SIGKILL: the store reopened at 1.2 with the third of them.

Change: after a failed COMMIT the store writes a transaction without effect in its place. It adds 1 to the numbers and takes it off again, as SQLite writes no page for an equal value.

--- a/ironmill/net/revision_store.py
+++ b/ironmill/net/revision_store.py
@@ -51,6 +51,7 @@
 _COUNT_TABLES = "SELECT count(*) FROM sqlite_master"
 _SELECT_NUMBER = "SELECT value FROM numbers WHERE name = ?"
 _SET_NUMBER = "INSERT OR REPLACE INTO numbers (name, value) VALUES (?, ?)"
+_ADD_TO_NUMBERS = "UPDATE numbers SET value = value + ?"
 _SELECT_ENTRIES = "SELECT key, value FROM current ORDER BY key"
 _SET_ENTRY = "INSERT OR REPLACE INTO current (key, value) VALUES (?, ?)"
 _DELETE_ENTRY = "DELETE FROM current WHERE key = ?"
@@ -280,12 +281,33 @@
         self._connection.execute("BEGIN IMMEDIATE")
         try:
             yield
-            self._connection.execute("COMMIT")
         except BaseException:
-            if self._connection.in_transaction:  # SQLite itself rolls back on some errors, as of a full disk
-                with contextlib.suppress(sqlite3.Error):
-                    self._connection.execute("ROLLBACK")
+            self._roll_back()
             raise
+        try:
+            self._connection.execute("COMMIT")
+        except sqlite3.Error:
+            self._roll_back()
+            self._overwrite_failed_commit()
+            raise
+
+    def _roll_back(self) -> None:
+        if self._connection.in_transaction:  # SQLite itself rolls back on some errors, as of a full disk
+            with contextlib.suppress(sqlite3.Error):
+                self._connection.execute("ROLLBACK")
+
+    def _overwrite_failed_commit(self) -> None:
+        """Writes a transaction without effect in the place of one whose commit has failed.
+
+        The write-ahead log may hold that one complete, only its sync having failed. After a kill the next
+        opening would take it for committed. Another one takes its place even if it cannot be synced either.
+        """
+        with contextlib.suppress(sqlite3.Error):
+            self._connection.execute("BEGIN IMMEDIATE")
+            for difference in (1, -1):  # SQLite writes no page for a value that is the same
+                self._connection.execute(_ADD_TO_NUMBERS, (difference,))
+            self._connection.execute("COMMIT")
+        self._roll_back()
 
     @contextlib.contextmanager
     def _translate_errors(self) -> Iterator[None]:
