Shutdown: clients that are writing their request line get BUSY before the exit

Seen by callers: at a planned restart with short deadlines a client that is writing its request line is closed without an answer.

Cause: Shutdown._finalize evicts connections without a complete line once. ClientConnection ._evict leaves one with unread bytes to its reader, but bytes that do not complete the line bring no answer, and nothing looked again before the exit. Stream.has_unread also says yes where recv fails for lack of memory, at the first failure.

Change: the round is repeated every 10 ms until the exit; has_unread repeats a failing call like receive_nowait does.

--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -29,6 +29,7 @@
 EXIT_MARGIN_S = 0.25  # from the exit to the earliest SIGKILL
 # Before the exit: final answers are written and peers close, since the exit resets what has unread bytes.
 FINAL_FLUSH_S = REJECTED_CLOSE_TIMEOUT_S + 0.05
+EVICTION_INTERVAL_S = 0.01  # between rounds of answers to clients whose request line is incomplete
 MAX_ACCEPT_RETRY_S = 1.0  # for accepts that fail while the queue of the listener is emptied
 # Minima where all deadlines are short:
 MIN_LAST_PLACEMENT_S = 0.05  # for the client accepted last to be placed
@@ -122,7 +123,17 @@
         self._gateway.resolve_all()
         for request in self._gateway.established():
             request.handler.migrate()  # also those established since the migration
-        self._admission.evict_silent()
+        self._scheduler.spawn(self._evict_silent, finalized_at + FINAL_FLUSH_S)
         if self._admin_server is not None:  # the exit would reset the calls in its queue
             self._admin_server.close(FINAL_FLUSH_S / 2.0)
         self._scheduler.sleep(max(0.0, finalized_at + FINAL_FLUSH_S - time.monotonic()))
+
+    def _evict_silent(self, until: float) -> None:
+        """Answers all clients without a complete request line.
+
+        One that has unread bytes is left to its reader, which answers a complete line. It is evicted in a
+        later round if the line is still incomplete then.
+        """
+        while time.monotonic() < until:
+            self._admission.evict_silent()
+            self._scheduler.sleep(EVICTION_INTERVAL_S)
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -191,10 +191,13 @@
 
     def has_unread(self) -> bool:
         """Returns True if unread bytes have been received, or if lack of memory prevents the check."""
-        try:
-            return bool(self._sock.recv(1, socket.MSG_PEEK))
-        except OSError as error:  # otherwise: no bytes, or no connection
-            return error.errno in RESOURCE_EXHAUSTED_ERRNOS
+        for _ in range(MAX_IMMEDIATE_RETRIES):
+            try:
+                return bool(self._sock.recv(1, socket.MSG_PEEK))
+            except OSError as error:
+                if error.errno not in RESOURCE_EXHAUSTED_ERRNOS:
+                    return False  # no bytes, or no connection
+        return True
 
     def is_stale(self) -> bool:
         """Returns True if a cached connection must not be reused: it ended, or holds unrequested bytes."""
--- a/tests/system/test_system_calls.py
+++ b/tests/system/test_system_calls.py
@@ -6,7 +6,9 @@
 import signal
 import socket
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -290,3 +292,47 @@
         run(it, scenario)
         assert it.proxy.popen.wait(10.0) == 0
         assert it.kinds() <= {"UP", "BUSY"}, it.answers
+
+
+def short_deadlines() -> dict[str, Any]:
+    """Returns settings by which a shutdown ends before a request line is late."""
+    categories = platform_settings()["categories"]
+    return {"categories": [category | {"hardLimitS": 0.3, "aimS": 0.1} for category in categories]}
+
+
+def send_slowly(address: tuple[str, int], interval_s: float, until: float) -> bytes:
+    """Sends the begin of a request line, a byte each interval, and returns what was received by the end."""
+    received = b""
+    with socket.create_connection(address) as client:
+        client.settimeout(interval_s)
+        for byte in b"OPEN " + b"x" * 10_000:
+            try:
+                if time.monotonic() < until:
+                    client.send(bytes([byte]))
+                received += (data := client.recv(100))
+            except TimeoutError:
+                continue
+            except OSError:
+                break
+            if not data:
+                break
+    return received
+
+
+@pytest.mark.parametrize("interval_s", [0.004, 0.05])
+@pytest.mark.parametrize("recv_failing", [0.0, 0.4])
+def test_shutdown_answers_clients_that_are_writing_their_request_line(
+    tmp_path: Path, interval_s: float, recv_failing: float
+) -> None:
+    """A check for unread bytes at one moment left out those with some, or whose check had failed."""
+    with (
+        site(tmp_path, FaultPlan(5, failing_fraction={"recv": recv_failing}), short_deadlines()) as it,
+        ThreadPoolExecutor(60) as pool,
+    ):
+        until = time.monotonic() + 8.0
+        clients = [pool.submit(send_slowly, it.proxy.address, interval_s, until) for _ in range(60)]
+        time.sleep(0.3)
+        it.proxy.popen.send_signal(signal.SIGTERM)
+        answers = Counter(client.result().partition(b" ")[0] for client in clients)
+        assert it.proxy.popen.wait(10.0) == 0
+    assert set(answers) <= {b"BUSY", b"ERR\r\n"}, answers
