--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import math
 import random
 import signal
 import socket
@@ -23,7 +24,7 @@
 from ironmill.runtime.scheduler import Scheduler
 from ironmill_testbed.admin_client import call
 from ironmill_testbed.fleet import run_scenario
-from ironmill_testbed.processes import Dependencies, free_port
+from ironmill_testbed.processes import Dependencies, ProxyProcess, free_port
 from ironmill_testbed.settings import platform_settings, proxy_config, write_config
 from tests.faults import FaultPlan
 from tests.support.soak_records import CLASSES, SoakProxy, SoakRecords, SoakRequest, check
@@ -39,6 +40,9 @@
 READY_TIMEOUT_S = 10.0
 KILL_GRACE_S = 0.7  # from the longest deadline (3 s or less) to the earliest SIGKILL
 FRONT_DELAY_S = 0.3  # the front sends new clients for so long after SIGTERM
+PERSISTENT_FRACTION = 0.4  # of the clients use their connection until the proxy ends it
+CROWD_CLIENTS = 120  # that come at once
+MAX_EXTRA_SIGNALS = 8  # after SIGTERM
 
 
 class Soak:
@@ -56,6 +60,8 @@
         self.crashed: dict[str, float] = {}  # servers, and when
         self.idle_connections: list[socket.socket] = []
         self.running_tasks = 0
+        self.running_clients = 0
+        self.has_crowds = self.rng.random() < 0.5  # a crowd before each end of a proxy
         self.proxies = [self._proxy(at) for at in range(PROXY_COUNT)]
 
     def _proxy(self, at: int) -> SoakProxy:
@@ -99,32 +105,47 @@
             self.scheduler.call_later(self.rng.uniform(0.3, REQUEST_SPAN_S - 3.0), self.spawn, kind)
         while time.monotonic() < end:
             self.scheduler.sleep(self.rng.expovariate(REQUESTS_PER_S))
-            self.spawn(self._run_client)
+            self._spawn_client()
         self._wait()
         for proxy in self.proxies:
             self.spawn(self._end, proxy)
         self._wait()
+        while self.running_clients:
+            self.scheduler.sleep(0.01)
 
     def faults(self) -> list[Callable[[], None]]:
         """Returns the kinds of faults, which are equally likely."""
         return [
             self._drain_server, self._crash_server, self._change_mode, self._add_server, self._restart,
-            self._kill, self._reload, self._open_idle_connections, self._drain_proxy,
+            self._kill, self._reload, self._open_idle_connections, self._drain_proxy, self._crowd,
         ]  # fmt: skip
 
     def spawn(self, function: Callable[..., object], *args: object) -> None:
-        """Runs the function in a task; the scenario waits for it."""
+        """Runs the function in a task; the scenario waits for it before it ends the proxies."""
         self.running_tasks += 1
 
         def run() -> None:
-            try:
-                function(*args)
-            except Exception as error:
-                self.violations.append(f"{getattr(function, '__name__', function)}: {error!r}")
+            self._run_recorded(function, *args)
             self.running_tasks -= 1
 
         self.scheduler.spawn(run)
 
+    def _spawn_client(self, proxy: SoakProxy | None = None) -> None:
+        """Runs a client in a task, which may last until all proxies have ended."""
+        self.running_clients += 1
+
+        def run() -> None:
+            self._run_recorded(self._run_client, proxy)
+            self.running_clients -= 1
+
+        self.scheduler.spawn(run)
+
+    def _run_recorded(self, function: Callable[..., object], *args: object) -> None:
+        try:
+            function(*args)
+        except Exception as error:
+            self.violations.append(f"{getattr(function, '__name__', function)}: {error!r}")
+
     def _wait(self) -> None:
         while self.running_tasks:
             self.scheduler.sleep(0.01)
@@ -164,17 +185,16 @@
         return proxy
 
     def _end(self, proxy: SoakProxy) -> None:
-        """Sends SIGTERM, then further signals, and SIGKILL at the earliest permitted time."""
+        """Sends SIGTERM, further signals at once or in series, and SIGKILL at the earliest permitted time."""
         process = proxy.process
         assert process is not None
+        if self.has_crowds:
+            self._crowd(proxy)
         began = time.monotonic()
         process.popen.send_signal(signal.SIGTERM)
+        self.spawn(self._send_signals, process, self.rng.choice((0.0, 0.02, 0.2)))
         self.scheduler.sleep(FRONT_DELAY_S)
         proxy.accepts_clients = False
-        for number in self.rng.sample((signal.SIGTERM, signal.SIGHUP, signal.SIGINT), 2):
-            if process.popen.poll() is None:
-                process.popen.send_signal(number)
-            self.scheduler.sleep(0.02)
         earliest = began + min(3.0, self.longest_deadline_s) + KILL_GRACE_S
         while process.popen.poll() is None and time.monotonic() < earliest:
             self.scheduler.sleep(0.01)
@@ -184,6 +204,14 @@
         if process.popen.wait() != 0:
             self.violations.append(f"{proxy.value['name']} ended with status {process.popen.returncode}")
 
+    def _send_signals(self, process: ProxyProcess, interval_s: float) -> None:
+        """Sends a series of the signals that a proxy handles, while it runs."""
+        for _ in range(self.rng.randrange(1, MAX_EXTRA_SIGNALS + 1)):
+            if process.popen.poll() is None:
+                process.popen.send_signal(self.rng.choice((signal.SIGTERM, signal.SIGHUP, signal.SIGINT)))
+            if interval_s:
+                self.scheduler.sleep(interval_s)
+
     def _restart(self) -> None:
         if (proxy := self._take_proxy()) is not None:
             self._end(proxy)
@@ -267,8 +295,14 @@
 
     # Clients
 
-    def _run_client(self) -> None:
-        serving = [proxy for proxy in self.proxies if proxy.accepts_clients]
+    def _crowd(self, proxy: SoakProxy | None = None) -> None:
+        """Sends many clients at once to one proxy."""
+        proxy = proxy or self.rng.choice(self.proxies)
+        for _ in range(CROWD_CLIENTS):
+            self._spawn_client(proxy)
+
+    def _run_client(self, proxy: SoakProxy | None = None) -> None:
+        serving = [one for one in self.proxies if one.accepts_clients and proxy in (None, one)]
         if not serving:
             return
         proxy = self.rng.choice(serving)
@@ -312,7 +346,8 @@
 
     def _exchange_lines(self, request: SoakRequest, stream: Stream, lines: LineReader) -> None:
         """Sends lines until the client or the proxy ends the connection."""
-        until = time.monotonic() + self.rng.expovariate(1.0 / 2.0)
+        is_persistent = self.rng.random() < PERSISTENT_FRACTION
+        until = math.inf if is_persistent else time.monotonic() + self.rng.expovariate(1.0 / 2.0)
         while time.monotonic() < until:
             stream.send(b"line\r\n", 5.0)
             answer = self._receive_line(request, stream, lines, 10.0)
