Catch-up: a result that is applied already is not applied again

Seen by operators: a second line "in-force" for a position that is in force; at a relay the log is cleared with it, so that its children catch up by ranges without need.

Cause: a catch-up begun from a parent that is ahead goes on with another parent that is not, and ends at the own position. Replica.replace_keyspace ignored older positions only.

Change: the position that is applied is ignored too, if the digest is the same; another digest at the same position still replaces the keyspace.

Test: the schedule by name; failed before, passes.

--- a/ironmill/distribution/replica.py
+++ b/ironmill/distribution/replica.py
@@ -58,9 +58,15 @@
         return True
 
     def replace_keyspace(self, keyspace: Keyspace, position: Position) -> None:
-        """Takes a whole keyspace, as fetched by a catch-up. An older one than received so far is ignored."""
+        """Takes a whole keyspace, as fetched by a catch-up.
+
+        An older one than received so far is ignored, and so is the one that is applied already: a catch-up
+        that was begun from a parent that is ahead may end with another one that is not.
+        """
         if position < self.received_position or position == START:
             return  # START is the position of a parent that has nothing itself yet
+        if position == self.applied_position and keyspace.digest == self.keyspace.digest:
+            return
         if self._consumer is not None:
             rejection = self._offer(self._difference(keyspace, self._consumer.looked_up))
             if rejection is not None:
--- a/tests/unit/distribution/test_random_schedules.py
+++ b/tests/unit/distribution/test_random_schedules.py
@@ -375,3 +375,27 @@
             (15.67, "restart", ("c03", 2.94, True)),
         ]
     )
+
+
+def test_catch_up_that_ends_where_it_began_applies_nothing() -> None:
+    """It is begun from a parent that is ahead, and ended from one that is not."""
+    takers = ("c02", "p00003", "p00004", "origin-b", "p00005")
+    others = ("c01", "p00000", "p00004", "origin-b", "c02")
+    play(
+        [
+            (17.89, "lossy", (2.22, 0.36146328049594867, True)),
+            (10.81, "cut", (takers, ("p00000", "p00004"), 2.16, True)),
+            (15.03, "large", 5),
+            (16.56, "change", {"a": None, "bad/1": None}),
+            (10.83, "lossy", (0.33, 0.13648382907673767, True)),
+            (15.24, "take over", None),
+            (13.0, "cut", (others, ("c02",), 3.28, False)),
+            (19.89, "trouble", ("fails", 1.75)),
+            (15.37, "revert", 3),
+            (13.98, "take over", None),
+            (10.83, "lossy", (0.33, 0.13648382907673767, True)),
+            (11.6, "restart", ("c01", 0.92, True)),
+            (15.3, "lossy", (6.75, 0.2801995016731087, False)),
+            (12.58, "lossy", (6.73, 0.36146328049594867, True)),
+        ]
+    )
