Key store: failing syncs, reads and kills neither lose a ring nor block an id

Seen by operators: a proxy may accept a retired key until the ring changes again; a keys command ends with a traceback; an id is refused for ever.

Causes: KeyRingWatcher recorded the file's version before reading it, so that a read that fails for a moment was never repeated, and took the version at its start for the one that was read before. keys new left its private key behind if the ring could not be written. The temporary file was named by the process number and had to be new, also after a kill. The folder of the replaced file was not synced, and an OSError was not translated.

Change: the version is recorded after the read, the first check reads; the private key is removed unless the ring has it, one of a killed command is named with what to do; random temporary names; the folder is synced; errors are one line.

--- a/ironmill/commands/keys.py
+++ b/ironmill/commands/keys.py
@@ -8,6 +8,7 @@
 
 import base64
 import os
+import secrets
 import stat
 import time
 from pathlib import Path
@@ -57,7 +58,7 @@
             raise CommandError(f"{self.path}: {error}") from None
 
     def write(self, ring: KeyRing) -> None:
-        """Replaces the ring atomically."""
+        """Replaces the ring atomically. Raises CommandError."""
         _write_atomically(self.path, ring.dump(), 0o644)
 
     def new(self, kid: str, algorithm: str) -> Key:
@@ -67,8 +68,13 @@
         if algorithm not in ALGORITHMS:
             raise CommandError(f"there is no algorithm {algorithm!r}; it is one of {', '.join(ALGORITHMS)}")
         ring = self.ring()
-        if ring.get(kid) is not None or self.private_path(kid).exists():
+        if ring.get(kid) is not None:
             raise CommandError(f"there is a key {kid!r} already")
+        if self.private_path(kid).exists():
+            raise CommandError(
+                f"there is a private key {kid!r} that the ring does not have, as after a command that was"
+                f" killed: remove {self.private_path(kid)}, or choose another id"
+            )
         pem, jwk = _generate(algorithm)
         item = {"kid": kid, "alg": algorithm, "state": "coming", "from": time.time(), **jwk}
         items = [*orjson.loads(ring.dump())["keys"], item]
@@ -76,13 +82,25 @@
             ring = parse_ring(orjson.dumps({"keys": items}))
         except KeyRingError as error:
             raise CommandError(str(error)) from None
-        self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
-        _write_atomically(self.private_path(kid), pem, 0o600)
-        self.write(ring)
+        self._store_pair(kid, pem, ring)
         key = ring.get(kid)
         assert key is not None
         return key
 
+    def _store_pair(self, kid: str, pem: bytes, ring: KeyRing) -> None:
+        """Writes a new private key, then the ring. Leaves no private key that the ring does not have."""
+        path = self.private_path(kid)
+        try:
+            self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+            _write_atomically(path, pem, 0o600)
+            self.write(ring)
+        except OSError as error:
+            raise CommandError(f"{self.folder}: {error.strerror}") from None
+        except CommandError:
+            if self.ring().get(kid) is None:
+                path.unlink(missing_ok=True)
+            raise
+
     def private_path(self, kid: str) -> Path:
         """Returns the path of the private key."""
         return self.folder / f"{kid}.pem"
@@ -135,18 +153,38 @@
 
 
 def _write_atomically(path: Path, data: bytes, mode: int) -> None:
-    """Replaces a file. The data are never readable by more than the mode allows."""
-    temporary = path.with_name(f".{path.name}.{os.getpid()}")
-    descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_EXCL, mode)
+    """Replaces a file. The data are never readable by more than the mode allows.
+
+    Raises CommandError. The file is the old one then, or it is replaced and may be lost with a loss of power.
+    """
+    # Not named by the process: in a container the next one may have the number of one that was killed.
+    temporary = path.with_name(f".{path.name}.{secrets.token_hex(8)}")
+    try:
+        descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_EXCL, mode)
+        try:
+            with os.fdopen(descriptor, "wb") as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+            temporary.replace(path)
+        except BaseException:
+            temporary.unlink(missing_ok=True)
+            raise
+    except OSError as error:
+        raise CommandError(f"{path}: {error.strerror}") from None
+    _sync_folder(path)
+
+
+def _sync_folder(path: Path) -> None:
+    """Makes the replacement of a file durable. Raises CommandError."""
     try:
-        with os.fdopen(descriptor, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        temporary.replace(path)
-    except BaseException:
-        temporary.unlink(missing_ok=True)
-        raise
+        descriptor = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+    except OSError as error:
+        raise CommandError(f"{path}: replaced, but perhaps not for good: {error.strerror}") from None
 
 
 def _generate(algorithm: str) -> tuple[bytes, dict[str, str]]:
--- a/ironmill/net/key_ring_watcher.py
+++ b/ironmill/net/key_ring_watcher.py
@@ -27,14 +27,15 @@
 
 
 class KeyRingWatcher:
-    """Reads the key ring again whenever its file has changed. A ring that is not valid changes nothing."""
+    """Reads the key ring again whenever its file has changed. A ring that cannot be read changes nothing."""
 
     def __init__(self, timers: Timers, path: str, on_change: Callable[[KeyRing], None]) -> None:
-        """Records the present version of the file, which is taken as read."""
+        """Does nothing until ``start``. The first check reads the file, which may have changed meanwhile."""
         self._timers = timers
         self._on_change = on_change
         self.path = path
-        self._version = self._current_version()
+        self._version: FileVersion | None = None  # that was read
+        self._rejected_version: FileVersion | None = None  # that was reported
 
     def start(self) -> None:
         """Starts to check the file every ``CHECK_INTERVAL_S``."""
@@ -45,13 +46,15 @@
         version = self._current_version()
         if version is None or version == self._version:
             return
-        self._version = version
         try:
             ring = read_ring(self.path)
         except MalformedError as error:
-            # The file may be half written; it is read again when its writer has finished.
-            log.error("key ring rejected", reason=str(error))
+            # The file may be half written, or reading may fail for a moment: the next check tries again.
+            if version != self._rejected_version:
+                self._rejected_version = version
+                log.error("key ring rejected", reason=str(error))
             return
+        self._version = version
         log.info("key ring loaded", keys=sum(1 for _ in ring))
         self._on_change(ring)
 
