--- a/tests/faults.py
+++ b/tests/faults.py
@@ -14,6 +14,7 @@
 import select
 import socket
 import sys
+import tempfile
 import time
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
@@ -36,6 +37,7 @@
     clock_step_s: float = 0.0  # of the wall clock
     stall_s: float = 0.0  # for which the process is suspended before it sends a request line
     has_short_io: bool = False  # reads and writes transfer a random part
+    has_read_only_files: bool = False  # a file can be written in the folder for temporary files alone
 
     def launcher(self) -> list[str]:
         """Returns the interpreter's arguments for a process with these faults."""
@@ -120,8 +122,31 @@
     return function
 
 
+# Audit events of the interpreter at which files are changed; that of open depends on its flags.
+CHANGING_EVENTS = frozenset(
+    {"os.mkdir", "os.rename", "os.remove", "os.rmdir", "os.truncate", "os.link", "os.symlink", "os.chmod"}
+)
+
+
+def refuse_writes(writable: str) -> None:
+    """Makes all changes of files outside of a folder fail with EROFS."""
+
+    def check(event: str, arguments: tuple[Any, ...]) -> None:
+        changes = event in CHANGING_EVENTS
+        if event == "open":
+            flags = arguments[2] or 0
+            changes = bool(flags & (os.O_WRONLY | os.O_RDWR | os.O_CREAT)) and isinstance(arguments[0], str)
+        if changes and not str(arguments[0]).startswith(writable):
+            print(f"write refused: {arguments[0]}", file=sys.stderr)
+            raise OSError(errno.EROFS, os.strerror(errno.EROFS), str(arguments[0]))
+
+    sys.addaudithook(check)
+
+
 def install(plan: FaultPlan) -> None:
     """Replaces the functions and classes that may fail."""
+    if plan.has_read_only_files:
+        refuse_writes(tempfile.gettempdir())
     faults = Faults(plan)
     replaced: Any = socket
     replaced.socketpair = failing(faults, "socketpair", SOCKET_ERRORS, socket.socketpair)
--- a/tests/system/test_system_calls.py
+++ b/tests/system/test_system_calls.py
@@ -336,3 +336,25 @@
         answers = Counter(client.result().partition(b" ")[0] for client in clients)
         assert it.proxy.popen.wait(10.0) == 0
     assert set(answers) <= {b"BUSY", b"ERR\r\n"}, answers
+
+
+def test_proxy_runs_on_a_read_only_file_system(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """DEPLOY: the file system is read-only but for the folder for temporary files."""
+    temporary = tmp_path / "tmp"
+    temporary.mkdir()
+    monkeypatch.setenv("TMPDIR", str(temporary))
+    monkeypatch.setenv("PYTHONDONTWRITEBYTECODE", "1")
+    with site(tmp_path, FaultPlan(has_read_only_files=True)) as it:
+
+        def scenario() -> None:
+            it.crowd(50, 0.5)
+            it.reload(it.dependencies.discovery)
+            it.crowd(50, 0.5)
+            it.proxy.popen.send_signal(signal.SIGTERM)
+
+        run(it, scenario)
+        assert it.proxy.popen.wait(10.0) == 0
+        assert it.kinds() == {"UP"}, it.answers
+        log = it.proxy.log.read_text()
+    assert "write refused" not in log
+    assert list(temporary.iterdir()) == []
