--- a/tests/system/test_membership_processes.py
+++ b/tests/system/test_membership_processes.py
@@ -75,6 +75,22 @@
         assert checker.removals(cluster.logged_events(), start) == []  # a graceful shutdown is no removal
 
 
+def test_seeds_that_start_a_cluster_of_their_own_merge_with_the_others(tmp_path: Path) -> None:
+    """Both seeds restart and hear from no other member meanwhile; the others find them later."""
+    with ProcessCluster(tmp_path, 5) as cluster:
+        seeds, others = cluster.names[:2], cluster.names[2:]
+        cluster.start()
+        cluster.wait_until(lambda: cluster.agree(cluster.names))
+        for seed in seeds:
+            assert cluster.shut_down(seed) == 0
+        cluster.wait_until(lambda: cluster.agree(others))
+        cluster.inject(both_ways(0.0, 1e9, tuple(seeds), tuple(others)))
+        cluster.start(*seeds)
+        cluster.wait_until(lambda: cluster.agree(seeds))
+        cluster.inject([])
+        cluster.wait_until(lambda: cluster.agree(cluster.names))
+
+
 def removed_members(cluster: ProcessCluster, since: float) -> set[str]:
     return {one.fields["member"] for one in checker.removals(cluster.logged_events(), since)}
 
