Distribution: a subscriber's catch-up has a module of its own

What belongs to the catch-up alone (requests, answers, restarts, the end) is CatchUpSession now; behaviour is the same.

--- /dev/null
+++ b/ironmill/distribution/catch_up_session.py
@@ -0,0 +1,112 @@
+"""A subscriber's catch-up by ranges: its requests to the parent, their answers, its restarts and its end."""
+
+from __future__ import annotations
+
+from ironmill.distribution.catch_up import CatchUp, Request
+from ironmill.distribution.events import CatchUpFinished, CatchUpRestarted, CatchUpStarted
+from ironmill.distribution.link import Link
+from ironmill.distribution.messages import (
+    DigestRequest,
+    DigestResponse,
+    EntriesRequest,
+    EntriesResponse,
+    PollResponse,
+)
+from ironmill.distribution.parent_selector import ParentCandidate
+from ironmill.distribution.poll_schedule import SentPoll
+from ironmill.distribution.replica import Replica
+from ironmill.distribution.revision import Delta, Position
+from ironmill.membership.envelope import DroppedError, DropReason
+
+
+class CatchUpSession:
+    """At most one catch-up, which ends with the replica at its result."""
+
+    def __init__(self, link: Link, replica: Replica, bytes_per_s: float) -> None:
+        """``bytes_per_s`` limits the answers that are requested."""
+        self._link = link
+        self._replica = replica
+        self._bytes_per_s = bytes_per_s
+        self._catch_up: CatchUp | None = None
+
+    @property
+    def is_active(self) -> bool:
+        """True while the keyspace is compared by ranges."""
+        return self._catch_up is not None
+
+    @property
+    def frontier(self) -> Position | None:
+        """The position from which deltas are wanted; None without a catch-up or before its first answer."""
+        return None if self._catch_up is None else self._catch_up.frontier
+
+    def start(self) -> None:
+        """Begins to compare, from the applied position on."""
+        replica = self._replica
+        if replica.received_position != replica.applied_position:
+            replica.discard_pending()
+        self._catch_up = CatchUp(replica.keyspace, self._bytes_per_s, self._link.now)
+        self._link.notify(CatchUpStarted(replica.received_position))
+
+    def restart(self) -> None:
+        """Compares again, keeping what has been fetched; does nothing without a catch-up."""
+        if self._catch_up is not None:
+            self._catch_up.restart()
+
+    def restart_if_lost(self, response: PollResponse, poll: SentPoll) -> None:
+        """Compares again if the parent has no delta from the frontier to its own position.
+
+        That is so once the parent has caught up by ranges itself, which leaves its log empty, or has dropped
+        the steps that lead on from the frontier.
+        """
+        frontier = self.frontier
+        if frontier is None or poll.received_position != frontier:
+            return
+        if response.latest_position > frontier and not response.log_covers_child:
+            self._link.notify(CatchUpRestarted(frontier, response.latest_position))
+            self.restart()
+
+    def send_requests(self, parent: ParentCandidate | None) -> None:
+        """Sends the requests that are due."""
+        if self._catch_up is None or parent is None or parent.token == 0:
+            return
+        token = self._link.tokens.issue(parent.endpoint.name, 0, self._link.now)
+        for request in self._catch_up.due_requests(self._link.now):
+            message = _addressed(request, parent.token, token)
+            self._link.send(parent.endpoint.name, parent.endpoint.address, message)
+
+    def add_delta(self, delta: Delta) -> None:
+        """Takes the parent's next delta."""
+        if self._catch_up is not None:
+            self._catch_up.on_delta(delta)
+
+    def receive(self, response: DigestResponse | EntriesResponse) -> None:
+        """Takes an answer of the parent. Raises ``DroppedError`` if it is malformed."""
+        if self._catch_up is None:
+            return
+        if isinstance(response, DigestResponse):
+            self._catch_up.on_digests(response)
+            return
+        try:
+            self._catch_up.on_entries(response)
+        except ValueError:
+            self._catch_up.restart()
+            raise DroppedError(DropReason.MALFORMED) from None
+
+    def finish(self) -> bool:
+        """Makes the result the replica's state, if it is complete. Returns whether it is."""
+        result = None if self._catch_up is None else self._catch_up.result()
+        if self._catch_up is None or result is None:
+            return False
+        keyspace, position = result
+        fetched_bytes = self._catch_up.fetched_bytes
+        self._catch_up = None
+        self._link.notify(CatchUpFinished(fetched_bytes, position))
+        self._replica.replace_keyspace(keyspace, position)
+        return True
+
+
+def _addressed(request: Request, echo: int, token: int) -> Request:
+    """Returns the request with the tokens of this exchange."""
+    if isinstance(request, DigestRequest):
+        return DigestRequest(echo, token, request.level, request.prefix)
+    return EntriesRequest(echo, token, request.number, request.leaf, request.after_key, request.end_leaf)
--- a/ironmill/distribution/subscriber.py
+++ b/ironmill/distribution/subscriber.py
@@ -5,18 +5,15 @@
 import math
 from collections.abc import Callable, Sequence
 
-from ironmill.distribution.catch_up import CatchUp, Request
+from ironmill.distribution.catch_up_session import CatchUpSession
 from ironmill.distribution.delta_assembler import DeltaAssembler
 from ironmill.distribution.drop_reason import DistributionDropReason
-from ironmill.distribution.events import CatchUpFinished, CatchUpRestarted, CatchUpStarted
 from ironmill.distribution.freshness import Freshness
 from ironmill.distribution.link import Link
 from ironmill.distribution.messages import (
     DeltaChunk,
-    DigestRequest,
     DigestResponse,
     Endpoint,
-    EntriesRequest,
     EntriesResponse,
     FleetSummary,
     Leave,
@@ -51,7 +48,7 @@
         self._selector = ParentSelector(link, replica, parents)
         self._schedule = PollSchedule(link.now)
         self._assembler = DeltaAssembler()
-        self._catch_up: CatchUp | None = None
+        self._catch_up = CatchUpSession(link, replica, timing.catch_up_bytes_per_s)
         self._ticked_at = link.now
         self._has_advanced = False
         self.replica = replica
@@ -71,7 +68,7 @@
     @property
     def is_catching_up(self) -> bool:
         """True while the keyspace is compared by ranges."""
-        return self._catch_up is not None
+        return self._catch_up.is_active
 
     def take_advanced(self) -> bool:
         """Returns True if the replica has advanced since the last call."""
@@ -95,8 +92,7 @@
                 self._poll(parent)
         for candidate in self._selector.due_probes():
             self._send_poll(candidate, is_probe=True)
-        if self._catch_up is not None:
-            self._send_catch_up_requests()
+        self._catch_up.send_requests(self.parent)
 
     def leave(self) -> None:
         """Notifies the parent that this process shuts down."""
@@ -116,7 +112,7 @@
         candidate.polled_at = now
         is_parent = candidate is self._selector.parent
         received_position = replica.received_position
-        if is_parent and self._catch_up is not None and self._catch_up.frontier is not None:
+        if is_parent and self._catch_up.frontier is not None:
             received_position = self._catch_up.frontier
         poll = Poll(
             echo=candidate.token,
@@ -204,16 +200,13 @@
         self._selector.attach(candidate)
         self._assembler.discard()
         self.summary_acked_at = -math.inf
-        if self._catch_up is not None:
-            self._catch_up.restart()
+        self._catch_up.restart()
         self._poll(candidate)
 
     def _on_parent_ahead(self, response: PollResponse, poll: SentPoll) -> None:
         """Waits for the parent's delta, or catches up by ranges if its log does not lead here."""
-        if self._catch_up is not None:
-            if self._has_lost_frontier(self._catch_up, response, poll):
-                self._link.notify(CatchUpRestarted(poll.received_position, response.latest_position))
-                self._catch_up.restart()
+        if self._catch_up.is_active:
+            self._catch_up.restart_if_lost(response, poll)
             return
         if self.replica.has_lost_pending:
             self.replica.discard_pending()
@@ -222,20 +215,6 @@
             return
         self._start_catch_up()
 
-    @staticmethod
-    def _has_lost_frontier(catch_up: CatchUp, response: PollResponse, poll: SentPoll) -> bool:
-        """Returns True if the parent has no delta from the catch-up's frontier to its own position.
-
-        That is so once the parent has caught up by ranges itself, which leaves its log empty, or has dropped
-        the steps that lead on from the frontier.
-        """
-        return (
-            catch_up.frontier is not None
-            and poll.received_position == catch_up.frontier
-            and response.latest_position > catch_up.frontier
-            and not response.log_covers_child
-        )
-
     # Deltas
 
     def _on_delta_chunk(self, candidate: ParentCandidate, chunk: DeltaChunk) -> None:
@@ -256,7 +235,7 @@
     def _check_order(self, chunk: DeltaChunk) -> None:
         """Raises ``DroppedError`` unless the delta follows on what was received."""
         expected = self.replica.received_position
-        if self._catch_up is not None:
+        if self._catch_up.is_active:
             if self._catch_up.frontier is None:
                 raise DroppedError(DistributionDropReason.OUT_OF_ORDER)
             expected = self._catch_up.frontier
@@ -267,8 +246,8 @@
             raise DroppedError(DistributionDropReason.OUT_OF_ORDER)
 
     def _on_delta(self, delta: Delta) -> None:
-        if self._catch_up is not None:
-            self._catch_up.on_delta(delta)
+        if self._catch_up.is_active:
+            self._catch_up.add_delta(delta)
             self._finish_catch_up()
         elif self.replica.apply_delta(delta):
             self._has_advanced = True
@@ -281,59 +260,23 @@
     # Catching up
 
     def _start_catch_up(self) -> None:
-        replica = self.replica
-        if replica.received_position != replica.applied_position:
-            replica.discard_pending()
         self._assembler.discard()
-        self._catch_up = CatchUp(replica.keyspace, self._timing.catch_up_bytes_per_s, self._link.now)
-        self._link.notify(CatchUpStarted(replica.received_position))
-        self._send_catch_up_requests()
-
-    def _send_catch_up_requests(self) -> None:
-        parent = self.parent
-        if self._catch_up is None or parent is None or parent.token == 0:
-            return
-        token = self._link.tokens.issue(parent.endpoint.name, 0, self._link.now)
-        for request in self._catch_up.due_requests(self._link.now):
-            message = _addressed(request, parent.token, token)
-            self._link.send(parent.endpoint.name, parent.endpoint.address, message)
+        self._catch_up.start()
+        self._catch_up.send_requests(self.parent)
 
     def _on_range_response(
         self, candidate: ParentCandidate, response: DigestResponse | EntriesResponse
     ) -> None:
-        if self._catch_up is None or candidate is not self.parent:
+        if not self._catch_up.is_active or candidate is not self.parent:
             raise DroppedError(DropReason.UNSOLICITED)
         self._check_lineage(response.lineage)
         candidate.latest_position = max(candidate.latest_position, response.position)
-        if isinstance(response, DigestResponse):
-            self._catch_up.on_digests(response)
-        else:
-            try:
-                self._catch_up.on_entries(response)
-            except ValueError:
-                self._catch_up.restart()
-                raise DroppedError(DropReason.MALFORMED) from None
+        self._catch_up.receive(response)
         self._finish_catch_up()
-        self._send_catch_up_requests()
+        self._catch_up.send_requests(self.parent)
 
     def _finish_catch_up(self) -> None:
-        if self._catch_up is None:
-            return
-        result = self._catch_up.result()
-        if result is None:
-            return
-        keyspace, position = result
-        fetched_bytes = self._catch_up.fetched_bytes
-        self._catch_up = None
-        self._assembler.discard()
-        self._link.notify(CatchUpFinished(fetched_bytes, position))
-        self.replica.replace_keyspace(keyspace, position)
-        self._has_advanced = True
-        self._acknowledge()
-
-
-def _addressed(request: Request, echo: int, token: int) -> Request:
-    """Returns the request with the tokens of this exchange."""
-    if isinstance(request, DigestRequest):
-        return DigestRequest(echo, token, request.level, request.prefix)
-    return EntriesRequest(echo, token, request.number, request.leaf, request.after_key, request.end_leaf)
+        if self._catch_up.finish():
+            self._assembler.discard()
+            self._has_advanced = True
+            self._acknowledge()
