--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import json
-import math
 import random
 import signal
 import socket
@@ -20,14 +19,14 @@
 from pathlib import Path
 
 from ironmill.net.sockets import Stream, TimedOutError
-from ironmill.protocol.lines import LineReader
 from ironmill.runtime.scheduler import Scheduler
 from ironmill_testbed.admin_client import call
 from ironmill_testbed.fleet import run_scenario
 from ironmill_testbed.processes import Dependencies, ProxyProcess, free_port
 from ironmill_testbed.settings import platform_settings, proxy_config, write_config
 from tests.faults import FaultPlan
-from tests.support.soak_records import CLASSES, SoakProxy, SoakRecords, SoakRequest, check
+from tests.support.soak_clients import SoakClients
+from tests.support.soak_records import CLASSES, SoakProxy, SoakRecords, check
 
 REQUEST_SPAN_S = 9.0
 REQUESTS_PER_S = 60.0
@@ -35,12 +34,10 @@
 PROXY_COUNT = 2
 FAULT_COUNT = 7
 IDLE_CONNECTIONS = 400
-ANSWER_GRACE_S = 3.0  # of a client beyond its deadline
 MAX_RUN_S = 90.0
 READY_TIMEOUT_S = 10.0
 KILL_GRACE_S = 0.7  # from the longest deadline (3 s or less) to the earliest SIGKILL
 FRONT_DELAY_S = 0.3  # the front sends new clients for so long after SIGTERM
-PERSISTENT_FRACTION = 0.4  # of the clients use their connection until the proxy ends it
 CROWD_CLIENTS = 120  # that come at once
 MAX_EXTRA_SIGNALS = 8  # after SIGTERM
 
@@ -54,7 +51,7 @@
         self.scheduler = Scheduler()
         self.dependencies = stack.enter_context(Dependencies(folder, SERVER_COUNT))
         self.longest_deadline_s = self.rng.choice((0.3, 1.0, 2.0, 4.0))
-        self.requests: list[SoakRequest] = []
+        self.clients = SoakClients(self.scheduler, self.rng, self.longest_deadline_s)
         self.violations: list[str] = []
         self.used_servers: set[str] = set()  # servers that drain or have crashed
         self.crashed: dict[str, float] = {}  # servers, and when
@@ -135,7 +132,7 @@
         self.running_clients += 1
 
         def run() -> None:
-            self._run_recorded(self._run_client, proxy)
+            self._run_recorded(self.clients.run, self.proxies if proxy is None else [proxy])
             self.running_clients -= 1
 
         self.scheduler.spawn(run)
@@ -301,69 +298,6 @@
         for _ in range(CROWD_CLIENTS):
             self._spawn_client(proxy)
 
-    def _run_client(self, proxy: SoakProxy | None = None) -> None:
-        serving = [one for one in self.proxies if one.accepts_clients and proxy in (None, one)]
-        if not serving:
-            return
-        proxy = self.rng.choice(serving)
-        assert proxy.process is not None
-        name = f"{self.rng.randrange(1 << 60):x}"
-        request = SoakRequest(name, self.rng.choice(list(CLASSES)), proxy, proxy.process)
-        try:
-            stream = Stream.connect(self.scheduler, proxy.process.address, 2.0)
-        except (OSError, TimedOutError):
-            return  # no proxy accepted it
-        self.requests.append(request)
-        try:
-            self._send_request(request, stream)
-        except TimedOutError:
-            request.outcome = "silent"
-        except OSError as error:
-            request.outcome = f"reset ({error.strerror})"
-        finally:
-            request.ended_at = time.monotonic()
-            stream.close()
-
-    def _send_request(self, request: SoakRequest, stream: Stream) -> None:
-        wait = self.longest_deadline_s * self.rng.choice((0.1, 0.5, 1.0, 1.0))
-        line = f"OPEN {request.name} 5a c={request.class_name},d={wait * 1000:.0f},g=3\r\n".encode()
-        cut = self.rng.choice((0, 0, 0, len(line) // 2))
-        if cut:
-            stream.send(line[:cut], 1.0)
-            self.scheduler.sleep(self.rng.random())
-        stream.send(line[cut:], 1.0)
-        request.written = True
-        if self.rng.random() < 0.1:
-            self.scheduler.sleep(self.rng.random() * wait * 0.5)
-            request.left_at, request.outcome = time.monotonic(), "left"
-            return
-        lines = LineReader()
-        answer = self._receive_line(request, stream, lines, wait + ANSWER_GRACE_S)
-        request.outcome = answer.split(b" ")[0].decode() or "closed"
-        if request.outcome == "UP":
-            request.is_established, request.server_id = True, answer[3:].decode()
-            self._exchange_lines(request, stream, lines)
-
-    def _exchange_lines(self, request: SoakRequest, stream: Stream, lines: LineReader) -> None:
-        """Sends lines until the client or the proxy ends the connection."""
-        is_persistent = self.rng.random() < PERSISTENT_FRACTION
-        until = math.inf if is_persistent else time.monotonic() + self.rng.expovariate(1.0 / 2.0)
-        while time.monotonic() < until:
-            stream.send(b"line\r\n", 5.0)
-            answer = self._receive_line(request, stream, lines, 10.0)
-            if answer != b"line":
-                request.outcome = "MOVE" if answer == b"MOVE" else "cut off"
-                return
-            self.scheduler.sleep(0.1 + 0.3 * self.rng.random())
-        request.outcome = "ended"
-
-    @staticmethod
-    def _receive_line(request: SoakRequest, stream: Stream, lines: LineReader, timeout: float) -> bytes:
-        """Returns the next line; empty at the end of the connection."""
-        while not request.received and (data := stream.receive(timeout)):
-            request.received += lines.feed(data)
-        return request.received.pop(0) if request.received else b""
-
 
 def run(seed: int, keep: Path | None = None) -> tuple[list[str], Counter[str]]:
     """Runs a seed; returns the violations, and the number of requests by outcome."""
@@ -372,8 +306,8 @@
         run_scenario(soak.scheduler, soak.scenario, MAX_RUN_S)
         for sock in soak.idle_connections:
             sock.close()
-        records = SoakRecords(soak.requests, soak.violations, soak.crashed, soak.dependencies)
-        return check(records), Counter(request.outcome for request in soak.requests)
+        records = SoakRecords(soak.clients.requests, soak.violations, soak.crashed, soak.dependencies)
+        return check(records), Counter(request.outcome for request in soak.clients.requests)
 
 
 def main(first: int, last: int, parallelism: int) -> int:
