--- /dev/null
+++ b/tests/support/configuration_api.py
@@ -0,0 +1,97 @@
+"""A stub of the origin, and calls of the admin API of distributed configuration."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from ironmill.administration.configuration_api import (
+    ConfigurationApi,
+)
+from ironmill.administration.messages import ApiRequest
+from ironmill.administration.routes import Routes
+from ironmill.distribution.changes import Changes, check_changes
+from ironmill.distribution.errors import (
+    PositionConflictError,
+    RevisionRejectedError,
+)
+from ironmill.distribution.rejection import Rejection
+from ironmill.distribution.revision import (
+    Position,
+    RevisionMetadata,
+    StoredRevision,
+)
+from ironmill.net.revision_store import SqliteStore
+
+ZONE = {"zone": "z", "proxies": 3, "lowest": "2.9", "refused": 0, "unreachable": 0, "stale": 0}
+
+
+class StubOrigin:
+    """An origin with a real store and a simulated status of the fleet."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = SqliteStore(str(folder / "store"))
+        self.error: Exception | None = None
+        self.overrides: dict[str, Any] = {}
+        self.pushed: list[tuple[float, float]] = []
+
+    def push(
+        self, changes: Changes, metadata: RevisionMetadata, now: float, expect: Position | None = None
+    ) -> Position:
+        self.pushed.append((metadata.at, now))
+        if self.error is not None:
+            raise self.error
+        known = self.store.committed(metadata.ticket)
+        if known is not None:
+            return known
+        if expect is not None and expect != self.store.position:
+            raise PositionConflictError(f"the newest revision is {self.store.position}, not {expect}")
+        check_changes(changes)
+        for key in changes:
+            if key.startswith("bad/"):
+                raise RevisionRejectedError(Rejection(key, "unknown key"))
+        return self.store.commit(changes, metadata)
+
+    def undo(self, number: int) -> Changes:
+        return self.store.undo(number)
+
+    def history(self, most: int) -> list[StoredRevision]:
+        return self.store.history(most)
+
+    def status(self, now: float) -> dict[str, Any]:
+        head = str(self.store.position)
+        return {
+            "name": "c1",
+            "role": "origin",
+            "lineage": self.store.lineage,
+            "held": head,
+            "in_force": head,
+            "stale": False,
+            "age_s": 0.0,
+            "parent": "",
+            "everywhere": True,
+            "lowest": head,
+            "zones": [],
+            "laggards": [],
+            "more_laggards": 0,
+            "entries": len(dict(self.store.entries())),
+            "dropped": {},
+        } | self.overrides
+
+
+def routes_of(stub: StubOrigin, writes: bool = True) -> Routes:
+    routes = Routes()
+    ConfigurationApi(stub, stub if writes else None, ["c1", "c9"], lambda: 50.0, lambda: 7.0).add_to(routes)
+    return routes
+
+
+def call_api(routes: Routes, method: str, path: str, body: object = None, query: str = "") -> tuple[int, Any]:
+    data = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
+    answer = routes.dispatch(ApiRequest(method, path, query, data))
+    assert answer.body.endswith(b"\n")
+    return int(answer.status), json.loads(answer.body)
+
+
+def body(changes: dict[str, str | None] | None = None, **more: object) -> dict[str, object]:
+    return {"changes": {"a": "1"} if changes is None else changes, "author": "ann", "ticket": "t1"} | more
