Sockets: one loop for reads that repeat a call that fails for lack of memory

The end of a catch-up checks once whether there is one. Behaviour is the same: lint, types, tests of distribution and 91 system tests of system calls, sockets, admission, intake, descriptors and shutdown pass.

--- a/ironmill/distribution/catch_up_session.py
+++ b/ironmill/distribution/catch_up_session.py
@@ -94,8 +94,10 @@
 
     def finish(self) -> bool:
         """Makes the result the replica's state, if it is complete. Returns whether it is."""
-        result = None if self._catch_up is None else self._catch_up.result()
-        if self._catch_up is None or result is None:
+        if self._catch_up is None:
+            return False
+        result = self._catch_up.result()
+        if result is None:
             return False
         keyspace, position = result
         fetched_bytes = self._catch_up.fetched_bytes
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -172,13 +172,17 @@
 
     def receive_nowait(self) -> bytes:
         """Returns the bytes received so far without parking, perhaps none."""
+        return self._recv_nowait(READ_BYTES) or b""
+
+    def _recv_nowait(self, size: int, flags: int = 0) -> bytes | None:
+        """Returns received bytes, perhaps none; None if lack of memory prevents the call again and again."""
         for _ in range(MAX_IMMEDIATE_RETRIES):
             try:
-                return self._sock.recv(READ_BYTES)
+                return self._sock.recv(size, flags)
             except OSError as error:
                 if error.errno not in RESOURCE_EXHAUSTED_ERRNOS:
-                    break
-        return b""
+                    return b""  # no bytes, or no connection
+        return None
 
     def is_closed_by_peer(self) -> bool:
         """Returns True if the peer has closed or reset the connection, even behind unread bytes."""
@@ -191,13 +195,8 @@
 
     def has_unread(self) -> bool:
         """Returns True if unread bytes have been received, or if lack of memory prevents the check."""
-        for _ in range(MAX_IMMEDIATE_RETRIES):
-            try:
-                return bool(self._sock.recv(1, socket.MSG_PEEK))
-            except OSError as error:
-                if error.errno not in RESOURCE_EXHAUSTED_ERRNOS:
-                    return False  # no bytes, or no connection
-        return True
+        data = self._recv_nowait(1, socket.MSG_PEEK)
+        return data is None or bool(data)
 
     def is_stale(self) -> bool:
         """Returns True if a cached connection must not be reused: it ended, or holds unrequested bytes."""
