--- a/review/standins.py
+++ b/review/standins.py
@@ -286,6 +286,7 @@
     """Plays a case and exits with its status. Ends the proxies that ``play`` adds to its list."""
     record = Record(folder)
     proxies: list[Proxy] = []
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(COULD_NOT_RUN))  # ends the proxies as well
 
     async def play_in_time(temporary: Path) -> int:
         # Connections that are still open at the end are cancelled, which asyncio would report as errors.
