Migration: a close without MOVE is counted and logged, with its reason

A connection that is closed without MOVE left no trace: neither the log nor the counts told whether the server had not ended its line or the client did not read.

--- a/ironmill/net/clients/connection_migrator.py
+++ b/ironmill/net/clients/connection_migrator.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from ironmill.net.clients.closing import GRACEFUL_CLOSE_TIMEOUT_S, ConnectionCloser
 from ironmill.protocol.client import MIGRATE_LINE, ClientState
+from ironmill.requests.metrics import EventCounts
+from ironmill.runtime.rate_limited_log import LogRateLimiter
 from ironmill.runtime.scheduler import Scheduler
 
 if TYPE_CHECKING:
@@ -13,16 +16,20 @@
 
 MIGRATION_TIMEOUT_S = 0.9  # for the current line to end; the client must get its MOVE by then
 
+log = logging.getLogger("ironmill.client")
+
 
 class ConnectionMigrator:
     """Sends ``MOVE`` once no line is incomplete; closes after ``MIGRATION_TIMEOUT_S`` in any case."""
 
-    __slots__ = ("_closer", "_scheduler")
+    __slots__ = ("_closer", "_counts", "_log_throttle", "_scheduler")
 
-    def __init__(self, scheduler: Scheduler, closer: ConnectionCloser) -> None:
-        """Creates a migrator that runs its migrations in tasks of the scheduler."""
+    def __init__(self, scheduler: Scheduler, closer: ConnectionCloser, counts: EventCounts) -> None:
+        """Creates a migrator that runs its migrations in tasks of the scheduler and counts their ends."""
         self._scheduler = scheduler
         self._closer = closer
+        self._counts = counts
+        self._log_throttle = LogRateLimiter()
 
     def request(self, connection: ClientConnection) -> None:
         """Starts the migration; a further call only retries it at once. Does not park."""
@@ -47,12 +54,28 @@
 
     def _force_close(self, connection: ClientConnection) -> None:
         """Closes the connection; omits ``MOVE`` after an incomplete line, with which it would merge."""
-        if _can_migrate(connection):
-            self._finish(connection, MIGRATE_LINE if _is_at_line_boundary(connection) else b"")
+        if not _can_migrate(connection):
+            return
+        if _is_at_line_boundary(connection):
+            self._finish(connection, MIGRATE_LINE)
+        else:
+            self._report_close_without_move(connection)
+            self._finish(connection, b"")
 
     def _finish(self, connection: ClientConnection, line: bytes) -> None:
+        if line:
+            self._counts.add("MOVE sent")
         self._closer.finish(connection, line, GRACEFUL_CLOSE_TIMEOUT_S)
 
+    def _report_close_without_move(self, connection: ClientConnection) -> None:
+        """Counts and logs why the client is not told to reconnect; the log is limited in its rate."""
+        is_client_slow = connection.is_writing
+        reason = "the client reads too slowly" if is_client_slow else "the server has not ended its line"
+        self._counts.add(f"closed without MOVE: {reason}")
+        suppressed = self._log_throttle.allow()
+        if suppressed is not None:
+            log.info("client closed without MOVE: %s (%d similar messages suppressed)", reason, suppressed)
+
 
 def _can_migrate(connection: ClientConnection) -> bool:
     return (
--- a/ironmill/net/clients/service.py
+++ b/ironmill/net/clients/service.py
@@ -66,7 +66,7 @@
             self.connection_limiter,
             sends_retry_after=self.config.settings.max_retry_after > 0.0,
         )
-        self.migrator = ConnectionMigrator(self.scheduler, self.closer)
+        self.migrator = ConnectionMigrator(self.scheduler, self.closer, self.gateway.counts)
         self.relay = DataRelay(self.gateway, self.closer)
         self.intake = RequestIntake(self)
         self.reader = ClientReader(self)
