Migration: streaming connections are moved between two lines, not cut off within one

Cause: MOVE was written only if the bytes written last ended with a line. Each read is passed on whole, so on a stream no read does: after 0.9 s the migrator took the line for one that never ends, and closed without MOVE.

Evidence, a trace of each call on the sockets: in the 0.9 s between the request and the close, 22 reads of 2,048 bytes and 22 writes of the same bytes; every block has line ends inside, none at its end. Not the client's reading (no write was under way at any check), nor a line that never ends (each ends within 1,202 bytes, 0.04 s), nor a late check (60 to 100 us behind each write, before the next read), nor the server's end (it was still sending).

Change: while a migration is requested, a read that completes a line is written up to its last complete line, with MOVE behind it, in the same task. Nothing is held back: bytes without a line end go on at once, what is dropped is the begin of a line that the client could not use. Overload, silence, drain by staff, planned restart and upgrade use the same way.

--- a/ironmill/net/clients/attempts.py
+++ b/ironmill/net/clients/attempts.py
@@ -89,11 +89,12 @@
             service.gateway.on_lines_answered(attempt, event.answers)
             for load in event.loads:
                 service.gateway.on_load(attempt, load)
+        if connection.migration_requested and service.migrator.migrate_after_lines(connection, event.data):
+            return False
         if not service.relay.write(connection, event.data):
             return False
-        if connection.migration_requested:
-            service.migrator.retry(connection)
-        return True
+        # The migration may have been requested while the client was slow to read.
+        return not (connection.migration_requested and service.migrator.migrate_at_boundary(connection))
 
     def on_ended(self, driver: AttemptDriver, end: AttemptEnd) -> None:
         """Closes the client the way the server closed, or reports the end so that a retry can follow."""
--- a/ironmill/net/clients/connection_migrator.py
+++ b/ironmill/net/clients/connection_migrator.py
@@ -20,7 +20,11 @@
 
 
 class ConnectionMigrator:
-    """Sends ``MOVE`` once no line is incomplete; closes after ``MIGRATION_TIMEOUT_S`` in any case."""
+    """Sends ``MOVE`` behind a complete line; closes after ``MIGRATION_TIMEOUT_S`` in any case.
+
+    The reads of a server that streams seldom end with a complete line. While a migration is requested, such a
+    read is therefore written up to its last complete line only, and ``MOVE`` takes the place of the rest.
+    """
 
     __slots__ = ("_closer", "_counts", "_log_throttle", "_scheduler")
 
@@ -42,15 +46,29 @@
                 self._force_close,
                 connection,
             )
-        self.retry(connection)
-
-    def retry(self, connection: ClientConnection) -> None:
-        """Retries the migration in a task of its own; called after data has been written to the client."""
-        self._scheduler.spawn(connection.run_guarded, self._migrate_at_boundary, connection)
-
-    def _migrate_at_boundary(self, connection: ClientConnection) -> None:
-        if _can_migrate(connection) and _is_at_line_boundary(connection):
-            self._finish(connection, MIGRATE_LINE)
+        self._scheduler.spawn(connection.run_guarded, self.migrate_at_boundary, connection)
+
+    def migrate_at_boundary(self, connection: ClientConnection) -> bool:
+        """Migrates if all data written to the client is complete lines; returns False if not. Parks."""
+        if not (_can_migrate(connection) and _is_at_line_boundary(connection)):
+            return False
+        self._finish(connection, MIGRATE_LINE)
+        return True
+
+    def migrate_after_lines(self, connection: ClientConnection, data: bytes) -> bool:
+        """Writes the complete lines of ``data`` and ``MOVE``, and closes; the rest of ``data`` is dropped.
+
+        ``data`` is what the server sent last, of which nothing has been written. Returns False, and writes
+        nothing, if it completes no line. Parks.
+        """
+        driver = connection.attempt_driver
+        if driver is None or not _can_migrate(connection):
+            return False
+        lines = driver.protocol.complete_lines(data)
+        if not lines:
+            return False
+        self._finish(connection, lines + MIGRATE_LINE)
+        return True
 
     def _force_close(self, connection: ClientConnection) -> None:
         """Closes the connection; omits ``MOVE`` after an incomplete line, with which it would merge."""
@@ -62,10 +80,10 @@
             self._report_close_without_move(connection)
             self._finish(connection, b"")
 
-    def _finish(self, connection: ClientConnection, line: bytes) -> None:
-        if line:
+    def _finish(self, connection: ClientConnection, last_lines: bytes) -> None:
+        if last_lines:
             self._counts.add("MOVE sent")
-        self._closer.finish(connection, line, GRACEFUL_CLOSE_TIMEOUT_S)
+        self._closer.finish(connection, last_lines, GRACEFUL_CLOSE_TIMEOUT_S)
 
     def _report_close_without_move(self, connection: ClientConnection) -> None:
         """Counts and logs why the client is not told to reconnect; the log is limited in its rate."""
--- a/ironmill/protocol/lines.py
+++ b/ironmill/protocol/lines.py
@@ -19,18 +19,19 @@
     stream that is forwarded unchanged, and returns only the first ``MAX_LINE_BYTES`` of a longer line.
     """
 
-    __slots__ = ("_buffer", "_strict", "_truncated")
+    __slots__ = ("_buffer", "_strict", "_truncated", "partial_bytes")
 
     def __init__(self, *, strict: bool = True) -> None:
         """Creates a reader. If ``strict`` is True, a line that is too long raises ``LineTooLongError``."""
         self._strict = strict
         self._buffer = b""
         self._truncated = False  # whether only a part of the incomplete line is buffered
+        self.partial_bytes = 0  # length of the incomplete line at the end of the bytes fed so far
 
     @property
     def at_line_boundary(self) -> bool:
         """True if the bytes fed so far end with a complete line, or none have been fed."""
-        return not self._buffer and not self._truncated
+        return not self.partial_bytes
 
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the lines that the bytes complete, without their CRLF.
@@ -38,6 +39,7 @@
         Raises ``LineTooLongError`` if the reader is strict and a line exceeds the limit.
         """
         *lines, rest = (self._buffer + data).split(LINE_END)
+        self.partial_bytes = len(rest) if lines else self.partial_bytes + len(data)
         if self._truncated and lines:
             lines[0] = lines[0][:MAX_LINE_BYTES]
             self._truncated = False
@@ -54,4 +56,5 @@
         """Removes the bytes of the incomplete line from the buffer and returns them."""
         rest = self._buffer
         self._buffer = b""
+        self.partial_bytes = 0
         return rest
--- a/ironmill/protocol/server.py
+++ b/ironmill/protocol/server.py
@@ -113,6 +113,10 @@
         """True if the bytes forwarded to the client end with a complete line."""
         return self._lines.at_line_boundary
 
+    def complete_lines(self, data: bytes) -> bytes:
+        """Returns the part of the bytes received last that ends with a complete line; empty if none ends."""
+        return data[: max(0, len(data) - self._lines.partial_bytes)]
+
     def connected(self) -> bytes:
         """Records that the connection to the server was opened. Returns the bytes to write."""
         self.state = AttemptState.SENDING_REQUEST
--- /dev/null
+++ b/tests/system/test_migration_of_streams.py
@@ -0,0 +1,149 @@
+"""Migration of connections whose server keeps sending, so that its reads seldom end with a complete line."""
+
+from __future__ import annotations
+
+import pytest
+
+from ironmill.net import drain as drain_module
+from ironmill.net import shutdown as shutdown_module
+from ironmill.net.drain import Drain
+from ironmill.net.shutdown import Shutdown, ShutdownContext
+from ironmill.net.sockets import Stream
+from ironmill.runtime.lifecycle import LifecycleEvent
+from tests.support.proxy_under_test import ProxyUnderTest
+
+LINE = b"0123456789abcdef" * 40 + b"\r\n"
+BLOCK_BYTES = 256  # no multiple of it is a multiple of the line's length within a test
+BLOCK_INTERVAL_S = 0.005
+
+
+def stream_blocks(proxy: ProxyUnderTest, server: Stream) -> bytearray:
+    """Starts to send lines in blocks that end within a line; returns the bytes sent so far, which grow."""
+    sent = bytearray()
+    stream = LINE * 4000
+
+    def send_all() -> None:
+        while True:
+            block = stream[len(sent) : len(sent) + BLOCK_BYTES]
+            sent.extend(block)
+            server.send(block)
+            proxy.scheduler.sleep(BLOCK_INTERVAL_S)
+
+    def send_until_closed() -> None:
+        try:
+            send_all()
+        except OSError:
+            server.close()
+
+    proxy.scheduler.spawn(send_until_closed)
+    return sent
+
+
+def read_all(client: Stream) -> bytes:
+    data = b""
+    while piece := client.receive(5.0):
+        data += piece
+    return data
+
+
+def assert_moved_between_lines(data: bytes, sent: bytes) -> None:
+    """Checks that the client got a part of the stream that ends with a line, and then MOVE, and no more."""
+    assert data.endswith(b"\r\nMOVE\r\n")
+    relayed = data.removesuffix(b"MOVE\r\n")
+    assert sent.startswith(relayed)
+
+
+def test_streaming_connection_is_moved_between_two_lines() -> None:
+    """Guards against a close without MOVE when no read from the server ends with a complete line."""
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        client, server = proxy.established_pair()
+        sent = stream_blocks(proxy, server)
+        proxy.scheduler.sleep(0.02)
+        (request,) = proxy.gateway.established()
+        request.handler.migrate()
+        assert_moved_between_lines(read_all(client), sent)
+        assert proxy.gateway.counts["MOVE sent"] == 1
+
+    ProxyUnderTest().run(scenario)
+
+
+def test_shutdown_moves_streaming_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against connections that a planned restart closes within a line of a stream."""
+    for name, value in {"ACCEPT_PERIOD_S": 0.02, "MAX_DEADLINE_S": 0.3, "KILL_GRACE_S": 0.9}.items():
+        monkeypatch.setattr(shutdown_module, name, value)
+    received: list[bytes] = []
+    sent: list[bytes] = []
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        client, server = proxy.established_pair()
+        stream = stream_blocks(proxy, server)
+        context = ShutdownContext(
+            proxy.scheduler, proxy.gateway, proxy.listener, proxy.config, proxy.connection_limiter
+        )
+        proxy.scheduler.spawn(Shutdown(context).run)
+        received.append(read_all(client))
+        sent.append(bytes(stream))
+
+    ProxyUnderTest().run(scenario)
+    assert_moved_between_lines(received[0], sent[0])
+
+
+def test_operators_drain_moves_streaming_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against connections that a drain of the proxy closes within a line of a stream."""
+    monkeypatch.setattr(drain_module, "FRONT_UPDATE_DELAY_S", 0.02)
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        Drain(proxy.scheduler, proxy.gateway, keeps_established=False)
+        client, server = proxy.established_pair()
+        sent = stream_blocks(proxy, server)
+        for event in (LifecycleEvent.STARTED, LifecycleEvent.DRAIN_REQUESTED):
+            proxy.gateway.lifecycle.handle(event)
+        assert_moved_between_lines(read_all(client), sent)
+
+    ProxyUnderTest().run(scenario)
+
+
+def test_line_end_split_between_two_reads_is_found() -> None:
+    """Guards against MOVE before the LF of a line, or within the line after it."""
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        client, server = proxy.established_pair()
+        server.send(b"half\r")
+        assert client.receive(5.0) == b"half\r"
+        (request,) = proxy.gateway.established()
+        request.handler.migrate()
+        proxy.scheduler.sleep(0.02)
+        server.send(b"\nnext")
+        assert read_all(client) == b"\nMOVE\r\n"
+
+    ProxyUnderTest().run(scenario)
+
+
+def test_migration_requested_during_a_slow_write_follows_the_written_lines() -> None:
+    """Guards against MOVE within data that the client has not taken yet, and against lost lines before it."""
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        client, server = proxy.established_pair()
+        sent = bytearray()
+
+        def send_all() -> None:
+            while len(sent) < 40_000_000:
+                block = (LINE * 100)[len(sent) % len(LINE) :][:16_000]
+                sent.extend(block)
+                server.send(block)
+
+        def send_until_closed() -> None:
+            try:
+                send_all()
+            except OSError:
+                server.close()
+
+        proxy.scheduler.spawn(send_until_closed)
+        (request,) = proxy.gateway.established()
+        proxy.wait_until(lambda: bool(getattr(request.handler, "is_writing", False)))
+        request.handler.migrate()
+        proxy.scheduler.sleep(0.05)
+        assert_moved_between_lines(read_all(client), bytes(sent))
+
+    ProxyUnderTest().run(scenario)
