Migration: no MOVE behind the BYE or MOVE of a server

Callers saw: a client that had been served to its end, or moved by its server, got a MOVE of the proxy behind that line, so that it came again although it had been served (real processes, a drain just after the line: 4 of 4 for BYE, 4 of 4 for MOVE).

Cause: the migrator took any complete line for one behind which a client may be moved.

Change: behind such a line the proxy writes nothing and passes the server's end on.

--- a/ironmill/net/clients/connection_migrator.py
+++ b/ironmill/net/clients/connection_migrator.py
@@ -50,7 +50,7 @@
 
     def migrate_at_boundary(self, connection: ClientConnection) -> bool:
         """Migrates if all data written to the client is complete lines; returns False if not. Parks."""
-        if not (_can_migrate(connection) and _is_at_line_boundary(connection)):
+        if not (_needs_move(connection) and _is_at_line_boundary(connection)):
             return False
         self._finish(connection, MIGRATE_LINE)
         return True
@@ -62,7 +62,7 @@
         nothing, if it completes no line. Parks.
         """
         driver = connection.attempt_driver
-        if driver is None or not _can_migrate(connection):
+        if driver is None or not _needs_move(connection):
             return False
         lines = driver.protocol.complete_lines(data)
         if not lines:
@@ -74,11 +74,11 @@
         """Closes the connection; omits ``MOVE`` after an incomplete line, with which it would merge."""
         if not _can_migrate(connection):
             return
-        if _is_at_line_boundary(connection):
-            self._finish(connection, MIGRATE_LINE)
-        else:
+        if not _is_at_line_boundary(connection):
             self._report_close_without_move(connection)
             self._finish(connection, b"")
+        else:
+            self._finish(connection, MIGRATE_LINE if _needs_move(connection) else b"")
 
     def _finish(self, connection: ClientConnection, last_lines: bytes) -> None:
         if last_lines:
@@ -103,6 +103,12 @@
     )
 
 
+def _needs_move(connection: ClientConnection) -> bool:
+    """Returns False if the server has told the client itself that the connection ends, or it has ended."""
+    driver = connection.attempt_driver
+    return _can_migrate(connection) and driver is not None and not driver.protocol.has_announced_end
+
+
 def _is_at_line_boundary(connection: ClientConnection) -> bool:
     driver = connection.attempt_driver
     return not connection.is_writing and driver is not None and driver.protocol.at_line_boundary
--- a/ironmill/protocol/server.py
+++ b/ironmill/protocol/server.py
@@ -113,6 +113,11 @@
         """True if the bytes forwarded to the client end with a complete line."""
         return self._lines.at_line_boundary
 
+    @property
+    def has_announced_end(self) -> bool:
+        """True if the last complete line told the client that its connection ends: ``BYE`` or ``MOVE``."""
+        return self._end_outcome in (Outcome.OK, Outcome.CANCELLED)
+
     def complete_lines(self, data: bytes) -> bytes:
         """Returns the part of the bytes received last that ends with a complete line; empty if none ends."""
         return data[: max(0, len(data) - self._lines.partial_bytes)]
--- a/tests/system/test_migration_of_streams.py
+++ b/tests/system/test_migration_of_streams.py
@@ -15,23 +15,26 @@
 LINE = b"0123456789abcdef" * 40 + b"\r\n"
 BLOCK_BYTES = 256  # no multiple of it is a multiple of the line's length within a test
 BLOCK_INTERVAL_S = 0.005
+LARGE_BLOCK_BYTES = 16_000
 
 
-def stream_blocks(proxy: ProxyUnderTest, server: Stream) -> bytearray:
+def stream_blocks(
+    proxy: ProxyUnderTest,
+    server: Stream,
+    block_bytes: int = BLOCK_BYTES,
+    interval_s: float = BLOCK_INTERVAL_S,
+) -> bytearray:
     """Starts to send lines in blocks that end within a line; returns the bytes sent so far, which grow."""
     sent = bytearray()
-    stream = LINE * 4000
-
-    def send_all() -> None:
-        while True:
-            block = stream[len(sent) : len(sent) + BLOCK_BYTES]
-            sent.extend(block)
-            server.send(block)
-            proxy.scheduler.sleep(BLOCK_INTERVAL_S)
+    lines = LINE * (2 + block_bytes // len(LINE))
 
     def send_until_closed() -> None:
         try:
-            send_all()
+            while True:
+                block = lines[len(sent) % len(LINE) :][:block_bytes]
+                sent.extend(block)
+                server.send(block)
+                proxy.scheduler.sleep(interval_s)
         except OSError:
             server.close()
 
@@ -125,21 +128,7 @@
 
     def scenario(proxy: ProxyUnderTest) -> None:
         client, server = proxy.established_pair()
-        sent = bytearray()
-
-        def send_all() -> None:
-            while len(sent) < 40_000_000:
-                block = (LINE * 100)[len(sent) % len(LINE) :][:16_000]
-                sent.extend(block)
-                server.send(block)
-
-        def send_until_closed() -> None:
-            try:
-                send_all()
-            except OSError:
-                server.close()
-
-        proxy.scheduler.spawn(send_until_closed)
+        sent = stream_blocks(proxy, server, LARGE_BLOCK_BYTES, 0.0)
         (request,) = proxy.gateway.established()
         proxy.wait_until(lambda: bool(getattr(request.handler, "is_writing", False)))
         request.handler.migrate()
@@ -147,3 +136,20 @@
         assert_moved_between_lines(read_all(client), bytes(sent))
 
     ProxyUnderTest().run(scenario)
+
+
+@pytest.mark.parametrize("last_line", [b"BYE\r\n", b"BYE x0=0.5\r\n", b"MOVE\r\n"])
+def test_no_move_follows_the_last_line_of_a_server(last_line: bytes) -> None:
+    """Guards against MOVE to a client that was served to its end, or that its server has moved already."""
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        client, server = proxy.established_pair()
+        (request,) = proxy.gateway.established()
+        server.send(b"line\r\n" + last_line)
+        data = client.receive(5.0)
+        request.handler.migrate()
+        proxy.scheduler.sleep(0.02)
+        server.close()
+        assert data + read_all(client) == b"line\r\n" + last_line
+
+    ProxyUnderTest().run(scenario)
