Migration: waits for a line of a server that answers, instead of closing within it after 0.9 s

Callers saw: a connection of a draining server was closed within a line, without MOVE, when the server paused in that line for more than 0.9 s (blocks of 2,048 bytes each 1.5 s, real processes: 4 of 4 at a drain, 6 of 6 at a SIGTERM).

Cause: one time limit for every reason to move a client.

Change: a migration waits for its line without a limit. What was to be moved and then falls silent gets the limit too.

New: a server that pauses for 1.2 s within a line (failed before, b'' in place of b'lf\r\nMOVE\r\n'); one that falls silent after the request (guards the new code, there was no such limit).

--- a/ironmill/net/bulk_migration.py
+++ b/ironmill/net/bulk_migration.py
@@ -27,9 +27,10 @@
         self._gateway = gateway
         self._migrated: set[str] = set()
 
-    def migrate_all(self, deadline: float) -> None:
+    def migrate_all(self, deadline: float, close_at: float | None = None) -> None:
         """Migrates until the deadline on the monotonic clock, or until no request is left. Parks.
 
+        Connections whose current line has not ended by ``close_at`` are closed then; None sets no such limit.
         Connections whose packets would reach other proxies are migrated too, as they end with the process.
         """
         while (remaining_s := deadline - time.monotonic()) > 0.0 and self._gateway.request_count():
@@ -38,5 +39,5 @@
             ]
             for request in unmigrated[: batch_size(len(unmigrated), remaining_s)]:
                 self._migrated.add(request.id)
-                request.handler.migrate()
+                request.handler.migrate(None if close_at is None else max(0.0, close_at - time.monotonic()))
             self._scheduler.sleep(MIGRATION_INTERVAL_S)
--- a/ironmill/net/clients/connection.py
+++ b/ironmill/net/clients/connection.py
@@ -120,9 +120,9 @@
             self.counter.failed()
         self.service.closer.finish_later(self, ERROR_LINE)
 
-    def migrate(self) -> None:
-        """Sends ``MOVE`` once no line to the client is incomplete, and closes."""
-        self.service.migrator.request(self)
+    def migrate(self, timeout_s: float | None = None) -> None:
+        """Sends ``MOVE`` once no line to the client is incomplete, and closes; without it at the timeout."""
+        self.service.migrator.request(self, timeout_s)
 
     # Closing
 
--- a/ironmill/net/clients/connection_migrator.py
+++ b/ironmill/net/clients/connection_migrator.py
@@ -14,13 +14,11 @@
 if TYPE_CHECKING:
     from ironmill.net.clients.connection import ClientConnection
 
-MIGRATION_TIMEOUT_S = 0.9  # for the current line to end; the client must get its MOVE by then
-
 log = logging.getLogger("ironmill.client")
 
 
 class ConnectionMigrator:
-    """Sends ``MOVE`` behind a complete line; closes after ``MIGRATION_TIMEOUT_S`` in any case.
+    """Sends ``MOVE`` behind a complete line and closes; waits for the end of the line if it is incomplete.
 
     The reads of a server that streams seldom end with a complete line. While a migration is requested, such a
     read is therefore written up to its last complete line only, and ``MOVE`` takes the place of the rest.
@@ -35,18 +33,22 @@
         self._counts = counts
         self._log_throttle = LogRateLimiter()
 
-    def request(self, connection: ClientConnection) -> None:
-        """Starts the migration; a further call only retries it at once. Does not park."""
-        if not connection.migration_requested:
-            connection.migration_requested = True
+    def request(self, connection: ClientConnection, timeout_s: float | None) -> None:
+        """Starts the migration, or retries it. Does not park.
+
+        If the migration has not been possible after ``timeout_s`` seconds, the connection is closed without
+        ``MOVE``. With None there is no such limit, and the limits of other calls stay.
+        """
+        connection.migration_requested = True
+        self._scheduler.spawn(connection.run_guarded, self.migrate_at_boundary, connection)
+        if timeout_s is not None:
             self._scheduler.call_later(
-                MIGRATION_TIMEOUT_S,
+                timeout_s,
                 self._scheduler.spawn,
                 connection.run_guarded,
                 self._force_close,
                 connection,
             )
-        self._scheduler.spawn(connection.run_guarded, self.migrate_at_boundary, connection)
 
     def migrate_at_boundary(self, connection: ClientConnection) -> bool:
         """Migrates if all data written to the client is complete lines; returns False if not. Parks."""
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -124,7 +124,8 @@
         self._gateway.lifecycle.handle(LifecycleEvent.GRACE_PERIOD_ENDED)
         self._gateway.resolve_all()
         for request in self._gateway.established():
-            request.handler.migrate()  # includes those established since the bulk migration
+            # Includes those established since the bulk migration, and those that wait for a line to end.
+            request.handler.migrate(FINAL_FLUSH_S / 2.0)
         self._scheduler.spawn(self._evict_silent, finalized_at + FINAL_FLUSH_S)
         if self._admin_server is not None:  # the exit would reset the connections of its pending requests
             self._admin_server.close(FINAL_FLUSH_S / 2.0)
--- a/ironmill/requests/client_request.py
+++ b/ironmill/requests/client_request.py
@@ -28,8 +28,12 @@
     def fail(self) -> None:
         """Sends ERR as the final answer."""
 
-    def migrate(self) -> None:
-        """Asks the client of an established connection to reconnect."""
+    def migrate(self, timeout_s: float | None = None) -> None:
+        """Asks the client of an established connection to reconnect, between two lines of its server.
+
+        Waits for the current line as long as it takes, because a connection may not be cut off while its
+        server answers. With a timeout, in seconds, the connection is then closed in any case.
+        """
 
 
 class NullRequestHandler:
@@ -48,7 +52,7 @@
     def fail(self) -> None:
         """Does nothing."""
 
-    def migrate(self) -> None:
+    def migrate(self, timeout_s: float | None = None) -> None:
         """Does nothing."""
 
 
--- a/ironmill/requests/gateway.py
+++ b/ironmill/requests/gateway.py
@@ -46,6 +46,9 @@
 # An attempt may not start at a draining server during the last DRAIN_LEAD_S of its grace period, because the
 # process may be suspended for this long between reading its clock and writing.
 DRAIN_LEAD_S = 0.15
+# For the current line of an unresponsive server to end, after which the connection is closed. Connections
+# must leave such a server within 7 s.
+UNRESPONSIVE_LINE_TIMEOUT_S = 0.9
 # Delays are reported if they exceed the shortest latency objective divided by this number.
 DELAY_THRESHOLD_DIVISOR = 3.0
 
@@ -295,7 +298,7 @@
         if request is not None and request.established:
             self.counts.add("unresponsive")
             request.unresponsive = True
-            request.handler.migrate()
+            request.handler.migrate(UNRESPONSIVE_LINE_TIMEOUT_S)
 
 
 def _balancer_request(request: ClientRequest, incoming: IncomingRequest) -> Request:
--- a/tests/support/requests.py
+++ b/tests/support/requests.py
@@ -82,5 +82,5 @@
     def fail(self) -> None:
         self.answers.append("ERR")
 
-    def migrate(self) -> None:
+    def migrate(self, timeout_s: float | None = None) -> None:
         self.migrations += 1
--- a/tests/system/test_migration_and_shutdown.py
+++ b/tests/system/test_migration_and_shutdown.py
@@ -9,7 +9,6 @@
 
 from ironmill.net import shutdown as shutdown_module
 from ironmill.net.bulk_migration import BulkMigration
-from ironmill.net.clients import connection_migrator as migrator_module
 from ironmill.net.clients.attempts import ClientAttempt
 from ironmill.net.shutdown import Shutdown, ShutdownContext, ShutdownSchedule
 from ironmill.net.signals import Signals
@@ -38,15 +37,13 @@
     ProxyUnderTest().run(scenario)
 
 
-def test_migration_is_forced_if_the_line_does_not_end(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(migrator_module, "MIGRATION_TIMEOUT_S", 0.05)
-
+def test_migration_is_forced_if_the_line_does_not_end() -> None:
     def scenario(proxy: ProxyUnderTest) -> None:
         client, attempt = proxy.established_pair()
         attempt.send(b"ha")
         assert client.receive(5.0) == b"ha"
         (request,) = proxy.gateway.established()
-        request.handler.migrate()
+        request.handler.migrate(0.05)
         assert client.receive(5.0) == b""
 
     ProxyUnderTest().run(scenario)
@@ -262,7 +259,7 @@
 ) -> None:
     received: list[bytes] = []
     monkeypatch.setattr(
-        BulkMigration, "migrate_all", lambda self, deadline: None
+        BulkMigration, "migrate_all", lambda self, deadline, close_at=None: None
     )  # as if no connection had been established during the last round
 
     def scenario(proxy: ProxyUnderTest) -> None:
--- a/tests/system/test_migration_of_streams.py
+++ b/tests/system/test_migration_of_streams.py
@@ -153,3 +153,40 @@
         assert data + read_all(client) == b"line\r\n" + last_line
 
     ProxyUnderTest().run(scenario)
+
+
+def test_migration_waits_for_server_that_pauses_within_a_line(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a close without MOVE while the server answers, however long its line takes."""
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        client, server = proxy.established_pair()
+        server.send(b"ha")
+        assert client.receive(5.0) == b"ha"
+        (request,) = proxy.gateway.established()
+        request.handler.migrate()
+        proxy.scheduler.sleep(1.2)
+        server.send(b"lf\r\nnext")
+        assert read_all(client) == b"lf\r\nMOVE\r\n"
+
+    ProxyUnderTest().run(scenario)
+
+
+def test_migration_that_waits_for_a_line_ends_once_the_server_is_unresponsive(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a connection that stays at a silent server because a migration was requested before."""
+    monkeypatch.setattr("ironmill.requests.response_delay.UNRESPONSIVE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr("ironmill.requests.gateway.UNRESPONSIVE_LINE_TIMEOUT_S", 0.1)
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        client, server = proxy.established_pair()
+        server.send(b"ha")
+        assert client.receive(5.0) == b"ha"
+        (request,) = proxy.gateway.established()
+        request.handler.migrate()
+        client.send(b"hey\r\n")
+        assert client.receive(5.0) == b""
+        assert proxy.gateway.counts["unresponsive"] >= 1
+        assert proxy.gateway.counts["closed without MOVE: the server has not ended its line"] == 1
+
+    ProxyUnderTest().run(scenario)
