Close: a client that reads slowly gets everything before the end, not a reset

Cause: the proxy shut its sending down and closed the socket after 1 s, whatever the kernel still had to send. The client goes on sending its line each 2 s until it has read the end; the system answers the first one after the close with a reset.

Evidence: the bytes of both ends. The server wrote everything and read an orderly end; the client's reset comes with its own next line, at the second after the close.

Change: an established connection keeps its socket until the client has closed its side, at most 60 s, and 5 s without progress: bytes acknowledged, or all acknowledged and still sending. 64 KiB each 0.5 s are discarded at most. Its slot counts for one descriptor, the server's is free at once. MOVE is written with the last lines, with the same 5 s.

--- a/ironmill/net/clients/attempts.py
+++ b/ironmill/net/clients/attempts.py
@@ -7,7 +7,6 @@
 
 from ironmill.balancing.interface import Outcome
 from ironmill.net.attempt import AttemptDriver, AttemptEnd, AttemptPlan
-from ironmill.net.clients.closing import GRACEFUL_CLOSE_TIMEOUT_S
 from ironmill.protocol.client import ClientState
 from ironmill.protocol.server import ServerDataReceived
 from ironmill.requests.client_request import Attempt
@@ -135,7 +134,7 @@
         if end.was_reset:
             connection.stream.abort()
         else:
-            connection.stream.close_gracefully(GRACEFUL_CLOSE_TIMEOUT_S)
+            self._service.closer.linger(connection)
 
     def _check_client(self) -> bool:
         """Returns False if the client has closed, and handles the close. Called just before an attempt sends.
--- a/ironmill/net/clients/closing.py
+++ b/ironmill/net/clients/closing.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ironmill.balancing.interface import Outcome
+from ironmill.net.lingering_close import LINGER_IDLE_TIMEOUT_S, LingeringClose
 from ironmill.net.sockets import TimedOutError
 from ironmill.protocol.client import ERROR_LINE
 from ironmill.protocol.request import busy_line
@@ -16,7 +17,7 @@
 if TYPE_CHECKING:
     from ironmill.net.clients.connection import ClientConnection
 
-GRACEFUL_CLOSE_TIMEOUT_S = 1.0  # for the peer to read the last line and to close its side
+ANSWER_TIMEOUT_S = 1.0  # for a client to take its final answer
 REJECTED_CLOSE_TIMEOUT_S = 0.2  # for a rejected client to close its side
 NO_CAPACITY_RETRY_AFTER_S = 0.5  # sent to a client for which no descriptor is left
 # Sent while the proxy drains. After this time the front-end load balancer routes the client to another proxy.
@@ -46,10 +47,8 @@
         """Returns a ``BUSY`` line, with the delay before a retry if the settings allow it in the line."""
         return busy_line(retry_after_s if self._sends_retry_after else 0.0)
 
-    def finish(
-        self, connection: ClientConnection, line: bytes, timeout_s: float = REJECTED_CLOSE_TIMEOUT_S
-    ) -> None:
-        """Ends the attempt, writes the last line and closes; waits ``timeout_s`` for the client to close."""
+    def finish(self, connection: ClientConnection, line: bytes) -> None:
+        """Ends the attempt, writes the final answer and closes; waits a moment for the client to close."""
         connection.protocol.close()
         self.end_attempt(connection, Outcome.CANCELLED)
         stream = connection.stream
@@ -57,15 +56,35 @@
             return
         may_linger = connection.slot is None or self._connection_limiter.start_leaving(connection.slot)
         try:
-            stream.send(line, GRACEFUL_CLOSE_TIMEOUT_S)
+            stream.send(line, ANSWER_TIMEOUT_S)
         except (OSError, TimedOutError):
             stream.abort()
             return
         if may_linger:
-            stream.close_gracefully(timeout_s)
+            stream.close_gracefully(REJECTED_CLOSE_TIMEOUT_S)
         else:
             stream.close_immediately()
 
+    def finish_established(self, connection: ClientConnection, last_lines: bytes) -> None:
+        """Ends the attempt, writes the last lines and closes once the client has received them. Parks."""
+        connection.protocol.close()
+        self.end_attempt(connection, Outcome.CANCELLED)
+        stream = connection.stream
+        if stream.closed:
+            return
+        try:
+            stream.send(last_lines, LINGER_IDLE_TIMEOUT_S)
+        except (OSError, TimedOutError):
+            stream.abort()
+            return
+        self.linger(connection)
+
+    def linger(self, connection: ClientConnection) -> None:
+        """Closes a client's connection once the client has received everything written to it. Parks."""
+        if connection.slot is not None:
+            self._connection_limiter.start_lingering(connection.slot)
+        LingeringClose(self._scheduler, connection.stream).run()
+
     def finish_later(self, connection: ClientConnection, line: bytes) -> None:
         """Calls ``finish`` in a task of its own; later events of the client are ignored."""
         connection.protocol.close()
--- a/ironmill/net/clients/connection_migrator.py
+++ b/ironmill/net/clients/connection_migrator.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from ironmill.net.clients.closing import GRACEFUL_CLOSE_TIMEOUT_S, ConnectionCloser
+from ironmill.net.clients.closing import ConnectionCloser
 from ironmill.protocol.client import MIGRATE_LINE, ClientState
 from ironmill.requests.metrics import EventCounts
 from ironmill.runtime.rate_limited_log import LogRateLimiter
@@ -85,7 +85,7 @@
     def _finish(self, connection: ClientConnection, last_lines: bytes) -> None:
         if last_lines:
             self._counts.add("MOVE sent")
-        self._closer.finish(connection, last_lines, GRACEFUL_CLOSE_TIMEOUT_S)
+        self._closer.finish_established(connection, last_lines)
 
     def _report_close_without_move(self, connection: ClientConnection) -> None:
         """Counts and logs why the client is not told to reconnect; the log is limited in its rate."""
--- a/ironmill/net/clients/reading.py
+++ b/ironmill/net/clients/reading.py
@@ -5,7 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from ironmill.net.clients.closing import GRACEFUL_CLOSE_TIMEOUT_S, NO_CAPACITY_RETRY_AFTER_S
+from ironmill.net.clients.closing import ANSWER_TIMEOUT_S, NO_CAPACITY_RETRY_AFTER_S
 from ironmill.net.sockets import TimedOutError
 from ironmill.protocol.client import (
     DRAINING_LINE,
@@ -140,7 +140,7 @@
     def _reply_to_ping(self, connection: ClientConnection) -> None:
         connection.request_line_deadline = time.monotonic() + REQUEST_LINE_TIMEOUT_S
         line = PONG_LINE if self._gateway.lifecycle.policy.answers_pong else DRAINING_LINE
-        connection.stream.send(line, GRACEFUL_CLOSE_TIMEOUT_S)
+        connection.stream.send(line, ANSWER_TIMEOUT_S)
 
     def _half_close(self, connection: ClientConnection) -> None:
         """Half-closes the server's connection and waits for the server, whose close kills this task."""
--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -4,11 +4,13 @@
 
 import contextlib
 import errno
+import fcntl
 import math
 import os
 import select
 import socket
 import struct
+import termios
 import time
 from collections.abc import Callable
 
@@ -29,6 +31,7 @@
 # write fails after the timeout, because the close must reach the other side within 1 s.
 BLOCKED_WRITE_CHECK_INTERVAL_S = 0.25
 BLOCKED_WRITE_TIMEOUT_S = 0.4
+_OUTPUT_QUEUE = struct.Struct("i")  # result of the ioctl TIOCOUTQ
 _LINGER_RESET = struct.pack("ii", 1, 0)  # struct linger: on, with a timeout of 0, so that a close resets
 
 
@@ -207,6 +210,15 @@
         data = self._recv_nowait(1, socket.MSG_PEEK)
         return data is None or bool(data)
 
+    def unacknowledged_bytes(self) -> int:
+        """Returns how many written bytes the peer's system has not acknowledged, 0 if that is not known."""
+        buffer = bytearray(_OUTPUT_QUEUE.size)
+        try:
+            fcntl.ioctl(self._sock.fileno(), termios.TIOCOUTQ, buffer)
+        except (OSError, ValueError):  # not a TCP socket, or closed
+            return 0
+        return int(_OUTPUT_QUEUE.unpack(buffer)[0])
+
     def is_stale(self) -> bool:
         """Returns True if a cached connection must not be reused: it has ended or holds unexpected bytes."""
         return self.is_closed_by_peer() or self.has_unread()
