Half-close: a client that has ended its sending gets all that its server still sends

Callers saw: a client that ends its sending on an open connection was cut off 6 s later, within a line and without MOVE, while its server was streaming (real processes: 6 of 6, each with some 4 kB of the stream lost).

Cause: the 6 s are for a client that has closed both directions, which looks the same until data is sent to it. They ran from the half-close, whatever the server did.

Change: they run from the server's last data. A client that has closed both answers that data with a reset, which ends the connection at once, as before.

--- a/ironmill/net/clients/attempts.py
+++ b/ironmill/net/clients/attempts.py
@@ -88,6 +88,7 @@
             service.gateway.on_lines_answered(attempt, event.answers)
             for load in event.loads:
                 service.gateway.on_load(attempt, load)
+        connection.server_is_sending = True
         if connection.migration_requested and service.migrator.migrate_after_lines(connection, event.data):
             return False
         if not service.relay.write(connection, event.data):
--- a/ironmill/net/clients/connection.py
+++ b/ironmill/net/clients/connection.py
@@ -43,6 +43,7 @@
         "request",
         "request_line",
         "request_line_deadline",
+        "server_is_sending",
         "service",
         "slot",
         "stream",
@@ -70,6 +71,7 @@
         self.is_writing = False  # True while server data is written to the client
         self.client_half_closed = False
         self.migration_requested = False
+        self.server_is_sending = False  # set by data from the server; cleared and read after a half-close
 
     def start(self) -> None:
         """Starts to read from the client, or rejects it if no descriptor is available."""
--- a/ironmill/net/clients/reading.py
+++ b/ironmill/net/clients/reading.py
@@ -28,7 +28,9 @@
 # From the accept, or from the reply to a PING, to the end of the request line. Some clients take 2 s to write
 # it, and a client that stops in the middle of it must get its answer within 3 s.
 REQUEST_LINE_TIMEOUT_S = 2.5
-HALF_CLOSED_TIMEOUT_S = 6.0  # for the server to close after the client has half-closed its connection
+# Without data from the server, after the client has half-closed its connection. A client that has closed both
+# directions looks the same until data is sent to it.
+HALF_CLOSED_TIMEOUT_S = 6.0
 
 
 class ClientReader:
@@ -143,10 +145,16 @@
         connection.stream.send(line, ANSWER_TIMEOUT_S)
 
     def _half_close(self, connection: ClientConnection) -> None:
-        """Half-closes the server's connection and waits for the server, whose close kills this task."""
+        """Half-closes the server's connection and waits for the server, whose close kills this task.
+
+        Closes both sides once the server has sent nothing for ``HALF_CLOSED_TIMEOUT_S``.
+        """
         connection.client_half_closed = True
         driver = connection.attempt_driver
         if driver is not None and driver.stream is not None:
             driver.stream.shutdown_write()
-        self._scheduler.sleep(HALF_CLOSED_TIMEOUT_S)
+        connection.server_is_sending = True
+        while connection.server_is_sending:
+            connection.server_is_sending = False
+            self._scheduler.sleep(HALF_CLOSED_TIMEOUT_S)
         self._closer.client_closed(connection, reset=False)
--- a/tests/system/test_relaying.py
+++ b/tests/system/test_relaying.py
@@ -8,6 +8,7 @@
 
 from ironmill.net import sockets as sockets_module
 from ironmill.net.clients import connection as connection_module
+from ironmill.net.clients import reading as reading_module
 from ironmill.net.clients.connection import ClientConnection
 from ironmill.net.sockets import READ_BYTES, Stream, TimedOutError
 from ironmill.requests.response_delay import DelayMeter
@@ -69,6 +70,24 @@
     ProxyUnderTest().run(scenario)
 
 
+def test_half_closed_client_gets_all_that_its_server_still_sends(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a close within the data of a server that sends for longer than the timeout."""
+    monkeypatch.setattr(reading_module, "HALF_CLOSED_TIMEOUT_S", 0.6)
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        client, attempt = proxy.established_pair()
+        client.shutdown_write()
+        assert attempt.receive(5.0) == b""
+        for _ in range(30):
+            attempt.send(b"line\r\n")
+            assert read_line(client) == b"line\r\n"
+            proxy.scheduler.sleep(0.04)
+        assert client.receive(5.0) == b""  # the server is silent from here on
+        proxy.wait_until(lambda: not proxy.connection_limiter.used())
+
+    ProxyUnderTest().run(scenario)
+
+
 def test_unresponsive_server_is_given_up_and_its_client_migrated(monkeypatch: pytest.MonkeyPatch) -> None:
     """A server machine that fails does not close its connections, so only a timeout reveals the failure."""
     monkeypatch.setattr("ironmill.requests.response_delay.UNRESPONSIVE_TIMEOUT_S", 0.2)
