Relay: a client that reads in steps is not closed within the data of an ended server

Callers saw: a client that reads slowly lost the rest when its server ended while the proxy still had data to write: the end came within the data, in order or as a reset (real processes, 14 MB at 390 kB/s: 1 of 2 lost 3.3 MB).

Cause: a blocked write whose source has ended gave up once the socket took nothing for 0.4 s. The system of a peer with large buffers lets more through only in steps, so that a client which reads all the time looks like one that reads nothing.

Evidence, the socket queues each half second: what is written and not acknowledged falls by 254 kB at a time, each 0.5 to 1 s; the socket takes more only after a third of its 4 MB.

Change: a peer that was seen to read while a write was blocked, which includes what its system acknowledges, gets 4 s. One that reads nothing is given up after 0.4 s as before ('must end or move it within a second'), and so is one whose source was reset.

Measured: the new test failed before (73,728 of 100,000 bytes), passes now; real processes 3 of 3 whole.

--- a/ironmill/net/sockets.py
+++ b/ironmill/net/sockets.py
@@ -31,6 +31,9 @@
 # write fails after the timeout, because the close must reach the other side within 1 s.
 BLOCKED_WRITE_CHECK_INTERVAL_S = 0.25
 BLOCKED_WRITE_TIMEOUT_S = 0.4
+# A peer that has been reading while writes were blocked gets this time to read on. Its system acknowledges
+# data in steps, between which a slow reader takes some seconds.
+SLOW_READER_TIMEOUT_S = 4.0
 _OUTPUT_QUEUE = struct.Struct("i")  # result of the ioctl TIOCOUTQ
 _LINGER_RESET = struct.pack("ii", 1, 0)  # struct linger: on, with a timeout of 0, so that a close resets
 
@@ -48,6 +51,7 @@
 
     __slots__ = (
         "_immediate_reads",
+        "_read_by_peer_at",
         "_scheduler",
         "_sock",
         "closed",
@@ -63,6 +67,7 @@
         self.closed = False
         self.on_close: Callable[[], object] = _ignore_close
         self._immediate_reads = 0  # consecutive reads that did not park
+        self._read_by_peer_at = -math.inf  # when the peer was last seen to read while a write was blocked
         self.recv_buffer_empty = False  # True if the last read emptied the socket's receive buffer
         # The earliest monotonic time at which bytes may have arrived while the connection was not accepted.
         self.queued_since: float | None = None
@@ -198,12 +203,20 @@
 
     def is_closed_by_peer(self) -> bool:
         """Returns True if the peer has closed or reset the connection, even if unread bytes precede that."""
+        return bool(self._poll_end())
+
+    def is_reset(self) -> bool:
+        """Returns True if the connection is broken, even if unread bytes precede that."""
+        return bool(self._poll_end() & (select.POLLERR | select.POLLNVAL))
+
+    def _poll_end(self) -> int:
+        """Returns the poll(2) events that tell of the connection's end; 0 if it has not ended."""
         poll = select.poll()
         try:
             poll.register(self._sock.fileno(), select.POLLRDHUP)
         except ValueError:  # closed locally
-            return True
-        return bool(poll.poll(0))
+            return select.POLLNVAL
+        return sum(events for _, events in poll.poll(0))
 
     def has_unread(self) -> bool:
         """Returns True if there are unread received bytes, or if lack of memory prevents the check."""
@@ -278,10 +291,13 @@
         """Writes all data that was read from ``source``, however slowly the peer reads.
 
         Raises ``TimedOutError`` once the source has closed and the peer has read nothing for
-        ``BLOCKED_WRITE_TIMEOUT_S``. The source is not read during the write, so its close would go unnoticed
-        without this check.
+        ``BLOCKED_WRITE_TIMEOUT_S``, or for ``SLOW_READER_TIMEOUT_S`` if it was reading before and the source
+        has closed in order. The source is not read during the write, so its close would go unnoticed without
+        this check.
         """
         unsent = memoryview(data)
+        unacknowledged_bytes = self.unacknowledged_bytes()
+        is_blocked = False
         give_up_at = math.inf
         while unsent or self.has_backpressure:
             try:
@@ -289,12 +305,24 @@
                     unsent = unsent[self.send_some(unsent, BLOCKED_WRITE_CHECK_INTERVAL_S) :]
                 else:
                     self.flush(BLOCKED_WRITE_CHECK_INTERVAL_S)
+                has_progressed = is_blocked
+                is_blocked = False
                 give_up_at = math.inf
             except TimedOutError:
+                is_blocked = True
+                previous_bytes = unacknowledged_bytes
+                unacknowledged_bytes = self.unacknowledged_bytes()
+                has_progressed = unacknowledged_bytes < previous_bytes
                 if source.is_closed_by_peer():
                     give_up_at = min(give_up_at, time.monotonic() + BLOCKED_WRITE_TIMEOUT_S)
-                if time.monotonic() >= give_up_at:
+                if time.monotonic() >= give_up_at and (source.is_reset() or not self._is_slow_reader()):
                     raise
+            if has_progressed:
+                self._read_by_peer_at = time.monotonic()
+
+    def _is_slow_reader(self) -> bool:
+        """Returns True if the peer was seen to read while a write was blocked, not long ago."""
+        return time.monotonic() - self._read_by_peer_at < SLOW_READER_TIMEOUT_S
 
     def shutdown_write(self) -> None:
         """Shuts down the sending direction; the receiving direction stays open."""
--- a/tests/system/test_lingering_close.py
+++ b/tests/system/test_lingering_close.py
@@ -7,9 +7,11 @@
 import pytest
 
 from ironmill.net import lingering_close as lingering_close_module
+from ironmill.net.clients.connection import ClientConnection
 from ironmill.net.sockets import Stream
 from tests.support.proxy_under_test import ProxyUnderTest
 
+SMALL_ARCHIVE_BYTES = 100_000  # more than the buffers to the client hold once they are made small
 ARCHIVE_BYTES = 400_000  # fits into the kernel's buffers, so that the proxy has nothing left to write
 PAUSE_S = 1.4  # longer than a close that waits for a second
 
@@ -44,6 +46,30 @@
     ProxyUnderTest().run(scenario)
 
 
+def test_slow_client_gets_what_the_proxy_still_has_to_write_after_the_end_of_its_server() -> None:
+    """Guards against a reset for a client that reads in steps, between which the proxy cannot write."""
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        client, server = proxy.established_pair()
+        (request,) = proxy.gateway.established()
+        assert isinstance(request.handler, ClientConnection)
+        request.handler.stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        server.send(b"z" * SMALL_ARCHIVE_BYTES)
+        server.shutdown_write()
+        proxy.scheduler.sleep(0.1)
+        assert request.handler.is_writing
+        data = b""
+        while len(data) < SMALL_ARCHIVE_BYTES // 4:
+            data += client.receive(5.0)
+        proxy.scheduler.sleep(PAUSE_S)
+        assert len(data + read_all(client)) == SMALL_ARCHIVE_BYTES
+        client.close()
+        proxy.wait_until(lambda: not proxy.connection_limiter.used())
+
+    ProxyUnderTest().run(scenario)
+
+
 def test_slow_client_gets_everything_before_its_move() -> None:
     """Guards against a reset in place of MOVE for a client that has not read all lines before it."""
 
