--- a/tests/system/test_lingering_close.py
+++ b/tests/system/test_lingering_close.py
@@ -10,19 +10,13 @@
 from ironmill.net.clients.connection import ClientConnection
 from ironmill.net.sockets import Stream
 from tests.support.proxy_under_test import ProxyUnderTest
+from tests.support.streams import read_all
 
 SMALL_ARCHIVE_BYTES = 100_000  # more than the buffers to the client hold once they are made small
 ARCHIVE_BYTES = 400_000  # fits into the kernel's buffers, so that the proxy has nothing left to write
 PAUSE_S = 1.4  # longer than a close that waits for a second
 
 
-def read_all(client: Stream) -> bytes:
-    data = b""
-    while piece := client.receive(5.0):
-        data += piece
-    return data
-
-
 def pause_and_send_line(proxy: ProxyUnderTest, client: Stream) -> None:
     """Lets the client read nothing for a while, then send a line, as it has not seen the end yet."""
     proxy.scheduler.sleep(PAUSE_S)
--- a/tests/system/test_tls_relaying.py
+++ b/tests/system/test_tls_relaying.py
@@ -14,6 +14,7 @@
 from ironmill.net.tls import TlsStream
 from ironmill_testbed.certificates import Authority
 from tests.support.proxy_under_test import OPEN, ProxyUnderTest, read_line
+from tests.support.streams import assert_moved_between_lines, read_all, stream_blocks
 from tests.support.tls import TlsProxyUnderTest, UpstreamTlsProxyUnderTest, check_relayed, wait_until_released
 
 pytestmark = pytest.mark.usefixtures("short_half_close")
@@ -37,6 +38,23 @@
     TlsProxyUnderTest(authority).run(scenario)
 
 
+def test_tls_streaming_connection_is_moved_between_two_lines(authority: Authority) -> None:
+    """Guards against a close without MOVE, or within a line, on a stream that is relayed as TLS records."""
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        assert isinstance(proxy, TlsProxyUnderTest)
+        client, attempt = proxy.established_tls_pair()
+        sent = stream_blocks(proxy, attempt)
+        proxy.scheduler.sleep(0.02)
+        (request,) = proxy.gateway.established()
+        request.handler.migrate()
+        assert_moved_between_lines(read_all(client), sent)  # ended by close_notify
+        client.close()
+        wait_until_released(proxy)
+
+    TlsProxyUnderTest(authority).run(scenario)
+
+
 def test_tls_client_that_does_not_read_applies_backpressure(authority: Authority) -> None:
     """Guards against unbounded buffers with TLS when a client does not read."""
 
