--- a/ironmill/net/clients/closing.py
+++ b/ironmill/net/clients/closing.py
@@ -80,9 +80,10 @@
         self.linger(connection)
 
     def linger(self, connection: ClientConnection) -> None:
-        """Closes a client's connection once the client has received everything written to it. Parks."""
-        if connection.slot is not None:
-            self._connection_limiter.start_lingering(connection.slot)
+        """Closes a client's connection once the client has received everything written to it. Parks.
+
+        Until then the connection counts for as many descriptors as before.
+        """
         LingeringClose(self._scheduler, connection.stream).run()
 
     def finish_later(self, connection: ClientConnection, line: bytes) -> None:
--- a/ironmill/requests/connection_limiter.py
+++ b/ironmill/requests/connection_limiter.py
@@ -1,8 +1,7 @@
 """Limits the number of client connections so that the process stays within its configured descriptors.
 
 A connection is silent until its request line has arrived. It is then admitted, which reserves a second
-descriptor for its attempt, and leaving once it has its final answer. An established connection whose server's
-side has ended is lingering until its client has received everything. When descriptors run short, the oldest
+descriptor for its attempt, and leaving once it has its final answer. When descriptors run short, the oldest
 silent connection is evicted, because a normal client sends its request at once. This module has no access to
 sockets.
 """
@@ -38,7 +37,6 @@
     SILENT = auto()
     ADMITTED = auto()
     LEAVING = auto()
-    LINGERING = auto()
     CLOSED = auto()
 
 
@@ -81,13 +79,12 @@
         self._silent: dict[ConnectionSlot, None] = {}  # oldest first
         self._admitted = 0
         self._leaving = 0
-        self._lingering = 0
         self._client_ids: set[str] = set()
         self._log_throttle = LogRateLimiter()
 
     def used(self) -> int:
         """Returns how many descriptors client connections use or reserve for their attempts."""
-        return len(self._silent) + 2 * self._admitted + self._leaving + self._lingering
+        return len(self._silent) + 2 * self._admitted + self._leaving
 
     def enter(self, evict: Evict) -> ConnectionSlot | None:
         """Adds an accepted connection, evicting a silent one if needed. Returns None if there is no room."""
@@ -139,12 +136,6 @@
         self._leaving += 1
         return True
 
-    def start_lingering(self, slot: ConnectionSlot) -> None:
-        """Marks a connection whose server's side has ended, and whose client still receives data."""
-        self._release(slot)
-        slot.phase = Phase.LINGERING
-        self._lingering += 1
-
     def leave(self, slot: ConnectionSlot) -> None:
         """Removes a connection whose socket is closed. Further calls do nothing."""
         self._release(slot)
@@ -174,8 +165,6 @@
             self._admitted -= 1
         elif slot.phase is Phase.LEAVING:
             self._leaving -= 1
-        elif slot.phase is Phase.LINGERING:
-            self._lingering -= 1
         slot.phase = Phase.CLOSED
         slot.evict = _nothing_to_evict  # breaks the reference cycle between the slot and its connection
         self._client_ids.discard(slot.client_id)
