Drain: closes within a line only while it lasts, not after a resume

A drain that is ended half way left the time limits of its migrations behind: a connection whose line had not ended was closed at 3.7 s although the proxy served again.

Change: the drain closes what is left itself, 3.8 s after the call, and not at all once it has ended. The shutdown does the same in its last 0.25 s with the same function.

Measured: the new test fails without the change (b'' in place of b'lf') and passes with it.

--- a/ironmill/net/bulk_migration.py
+++ b/ironmill/net/bulk_migration.py
@@ -27,10 +27,9 @@
         self._gateway = gateway
         self._migrated: set[str] = set()
 
-    def migrate_all(self, deadline: float, close_at: float | None = None) -> None:
+    def migrate_all(self, deadline: float) -> None:
         """Migrates until the deadline on the monotonic clock, or until no request is left. Parks.
 
-        Connections whose current line has not ended by ``close_at`` are closed then; None sets no such limit.
         Connections whose packets would reach other proxies are migrated too, as they end with the process.
         """
         while (remaining_s := deadline - time.monotonic()) > 0.0 and self._gateway.request_count():
@@ -39,5 +38,10 @@
             ]
             for request in unmigrated[: batch_size(len(unmigrated), remaining_s)]:
                 self._migrated.add(request.id)
-                request.handler.migrate(None if close_at is None else max(0.0, close_at - time.monotonic()))
+                request.handler.migrate()
             self._scheduler.sleep(MIGRATION_INTERVAL_S)
+
+    def close_remaining(self, timeout_s: float) -> None:
+        """Migrates what is established; closes it after ``timeout_s`` seconds if its line has not ended."""
+        for request in self._gateway.established():
+            request.handler.migrate(timeout_s)
--- a/ironmill/net/drain.py
+++ b/ironmill/net/drain.py
@@ -20,10 +20,10 @@
 FRONT_UPDATE_DELAY_S = 0.5
 # By this time the migration of every connection established so far has been requested.
 MIGRATION_DEADLINE_S = 2.8
-# A connection whose current line has not ended by this time is closed, as none may be left after 4 s.
-CLOSE_DELAY_S = 3.7
 FINAL_ANSWER_DEADLINE_S = 3.0  # pending requests get their final answer at this time
-LATE_MIGRATION_S = 1.0  # from the final answers, to migrate the connections established since
+LATE_MIGRATION_S = 0.7  # from the final answers, to migrate the connections established since
+# Then, for the current lines of the last connections to end. No connection may be left after 4 s.
+LAST_LINE_TIMEOUT_S = 0.1
 
 log = logging.getLogger("ironmill.drain")
 
@@ -57,11 +57,15 @@
         self._gateway.lifecycle.handle(LifecycleEvent.DRAIN_PROPAGATED)
         bulk_migration = None if self._keeps_established else BulkMigration(self._scheduler, self._gateway)
         if bulk_migration is not None:
-            bulk_migration.migrate_all(started_at + MIGRATION_DEADLINE_S, started_at + CLOSE_DELAY_S)
+            bulk_migration.migrate_all(started_at + MIGRATION_DEADLINE_S)
         self._scheduler.sleep(max(0.0, started_at + FINAL_ANSWER_DEADLINE_S - time.monotonic()))
         self._gateway.resolve_all()
         if bulk_migration is not None:
-            bulk_migration.migrate_all(time.monotonic() + LATE_MIGRATION_S, started_at + CLOSE_DELAY_S)
+            bulk_migration.migrate_all(time.monotonic() + LATE_MIGRATION_S)
+            self._scheduler.sleep(
+                max(0.0, started_at + FINAL_ANSWER_DEADLINE_S + LATE_MIGRATION_S - time.monotonic())
+            )
+            bulk_migration.close_remaining(LAST_LINE_TIMEOUT_S)
         log.info("drained: %d established", self._established())
 
     def _established(self) -> int:
--- a/ironmill/net/shutdown.py
+++ b/ironmill/net/shutdown.py
@@ -92,6 +92,7 @@
         self._config = context.config
         self._connection_limiter = context.connection_limiter
         self._admin_server = context.admin_server
+        self._bulk_migration = BulkMigration(context.scheduler, context.gateway)
 
     def run(self) -> None:
         """Shuts down and stops the scheduler. Does nothing if a shutdown is already running. Parks."""
@@ -116,16 +117,14 @@
         self._acceptor.yield_to_successor()  # again, as a successor may have begun to listen meanwhile
         self._acceptor.close(max(0.0, min(MAX_ACCEPT_RETRY_S, flush_at - time.monotonic())))
         self._scheduler.sleep(max(0.0, started_at + schedule.migrate_at - time.monotonic()))
-        BulkMigration(self._scheduler, self._gateway).migrate_all(flush_at)
+        self._bulk_migration.migrate_all(flush_at)
 
     def _finalize(self) -> None:
         """Sends the remaining final answers and waits for clients to receive them. Starts no attempt."""
         finalized_at = time.monotonic()
         self._gateway.lifecycle.handle(LifecycleEvent.GRACE_PERIOD_ENDED)
         self._gateway.resolve_all()
-        for request in self._gateway.established():
-            # Includes those established since the bulk migration, and those that wait for a line to end.
-            request.handler.migrate(FINAL_FLUSH_S / 2.0)
+        self._bulk_migration.close_remaining(FINAL_FLUSH_S / 2.0)
         self._scheduler.spawn(self._evict_silent, finalized_at + FINAL_FLUSH_S)
         if self._admin_server is not None:  # the exit would reset the connections of its pending requests
             self._admin_server.close(FINAL_FLUSH_S / 2.0)
--- a/tests/system/test_migration_and_shutdown.py
+++ b/tests/system/test_migration_and_shutdown.py
@@ -259,7 +259,7 @@
 ) -> None:
     received: list[bytes] = []
     monkeypatch.setattr(
-        BulkMigration, "migrate_all", lambda self, deadline, close_at=None: None
+        BulkMigration, "migrate_all", lambda self, deadline: None
     )  # as if no connection had been established during the last round
 
     def scenario(proxy: ProxyUnderTest) -> None:
--- a/tests/system/test_migration_of_streams.py
+++ b/tests/system/test_migration_of_streams.py
@@ -112,6 +112,33 @@
     ProxyUnderTest().run(scenario)
 
 
+def test_operators_drain_closes_within_a_line_at_its_end_unless_it_is_resumed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a drain that leaves a connection, and against one that cuts it off after its end."""
+    times = {"FRONT_UPDATE_DELAY_S": 0.02, "MIGRATION_DEADLINE_S": 0.1, "FINAL_ANSWER_DEADLINE_S": 0.12}
+    for name, value in (times | {"LATE_MIGRATION_S": 0.05, "LAST_LINE_TIMEOUT_S": 0.01}).items():
+        monkeypatch.setattr(drain_module, name, value)
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        Drain(proxy.scheduler, proxy.gateway, keeps_established=False)
+        lifecycle = proxy.gateway.lifecycle
+        lifecycle.handle(LifecycleEvent.STARTED)
+        client, server = proxy.established_pair()
+        server.send(b"ha")
+        assert client.receive(5.0) == b"ha"
+        lifecycle.handle(LifecycleEvent.DRAIN_REQUESTED)
+        proxy.scheduler.sleep(0.06)
+        lifecycle.handle(LifecycleEvent.RESUME_REQUESTED)
+        proxy.scheduler.sleep(0.3)
+        server.send(b"lf")
+        assert client.receive(5.0) == b"lf"
+        lifecycle.handle(LifecycleEvent.DRAIN_REQUESTED)
+        assert client.receive(5.0) == b""
+
+    ProxyUnderTest().run(scenario)
+
+
 def test_migration_waits_for_server_that_pauses_within_a_line(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a close without MOVE while the server answers, however long its line takes."""
 
