Resume: a lost answer no longer takes the whole wait for a connection

Cause: ResumedAttempt gave each try all the time that was left. A lost line or answer does not fail, so it was never repeated. From a trace of both ends: the server had the line after 1 ms; for 38 s the connection was established at both ends with nothing unsent and nothing unread, and there was no second socket, while a further client at that server was up in 2 ms. So the line was delivered, no answer was left unread, no repeat was made, and the server was not ejected.

Change: balancing/resume_schedule (no I/O) divides the 38 s among three attempts of 1.8, 7.2 and 29 s. Each is closed before the next begins. At most three lines are written, in place of one each 0.25 s to a server that fails at once; the last is kept for later, so 6 s of failures are outlived as before. What was not sent does not count; a line that may have run is repeated only as its class allows (cautious reading, question in docs/sites.md). d tells the server how long the attempt lasts. Counts by outcome of resume attempts.

--- a/ironmill/net/clients/attempts.py
+++ b/ironmill/net/clients/attempts.py
@@ -10,6 +10,7 @@
 from ironmill.protocol.client import ClientState
 from ironmill.protocol.server import ServerDataReceived
 from ironmill.requests.client_request import Attempt
+from ironmill.requests.routing_table import Server
 
 if TYPE_CHECKING:
     from ironmill.net.clients.connection import ClientConnection
@@ -112,7 +113,7 @@
         connection = self._connection
         attempt = connection.attempt
         if attempt is None:
-            return  # a resumed connection: ``ResumedAttempt.resume`` tries again
+            return
         connection.attempt_driver = None
         connection.attempt_task = None
         connection.attempt = None
@@ -150,54 +151,89 @@
 
 
 class ResumedAttempt(ClientAttempt):
-    """An attempt that reconnects a client to the server it was connected to before the proxy started."""
+    """Attempts that reconnect a client to the server it was connected to before the proxy started."""
+
+    __slots__ = ("_schedule", "_server")
 
-    __slots__ = ()
+    def __init__(self, connection: ClientConnection) -> None:
+        """Creates the attempts for the connection's request line, whose time begins now."""
+        super().__init__(connection, None)
+        request_line = connection.request_line
+        assert request_line is not None
+        self._schedule = self._service.gateway.resume_schedule(
+            request_line.class_name, time.monotonic() + RESUME_TIMEOUT_S, RESUME_RETRY_INTERVAL_S
+        )
+        self._server: Server | None = None  # of the current attempt
 
     def resume(self) -> None:
-        """Retries until the connection is established, and fails it after ``RESUME_TIMEOUT_S``. Parks."""
+        """Retries until the connection is established, and fails it when its schedule ends. Parks."""
         connection = self._connection
         resuming = self._service.gateway.resuming
         resuming.add(connection)
         try:
-            established = self._try_until(time.monotonic() + RESUME_TIMEOUT_S)
+            established = self._run_attempts(connection)
         finally:
             resuming.discard(connection)
         if not established and not connection.stream.closed:
+            self._service.gateway.counts.add("resume given up")
             connection.fail()
 
     def may_start(self) -> bool:
-        """Returns False if the client has closed. The server may be draining, as it has this connection."""
-        return self._check_client()
+        """Returns False if the client has its answer or has closed, or a repeat could take effect twice.
 
-    def _try_until(self, deadline: float) -> bool:
-        """Returns False if the connection is not established by the deadline or its client has closed."""
-        connection = self._connection
+        The server may be draining, as it has this connection.
+        """
+        is_waiting = self._connection.protocol.state is ClientState.AWAITING_ANSWER
+        return is_waiting and self._schedule.may_send(time.monotonic()) and self._check_client()
+
+    def on_ended(self, driver: AttemptDriver, end: AttemptEnd) -> None:
+        """Schedules the next attempt, or passes on the end of the established connection."""
+        if end.was_established:
+            super().on_ended(driver, end)
+            return
+        self._service.gateway.counts.add(f"resume attempt {end.outcome.name}")
+        self._schedule.attempt_ended(end.outcome, time.monotonic(), sent=not driver.protocol.unwritten)
+
+    def _run_attempts(self, connection: ClientConnection) -> bool:
+        """Returns False if the connection is not established in time or its client has closed."""
+        schedule = self._schedule
         request_line = connection.request_line
         assert request_line is not None
         server_uid = request_line.resumes_at or ""
-        while time.monotonic() < deadline:
+        while (start_at := schedule.next_start(time.monotonic())) is not None:
+            self._service.scheduler.sleep(max(0.0, start_at - time.monotonic()))
             if not self._check_client():
                 return False
             server = self._service.gateway.server(server_uid)
-            if server is not None:
-                timeout_s = deadline - time.monotonic()
-                connect_timeout_s = self._service.config.connect_timeout_s
-                plan = AttemptPlan(request_line.raw, server.address, connect_timeout_s, timeout_s)
-                driver = AttemptDriver(self._service.dial, plan)
-                connection.attempt_driver = driver
-                driver.run(self)
-                if driver.protocol.established:
-                    return True
-            self._service.scheduler.sleep(RESUME_RETRY_INTERVAL_S)
+            if server is None:
+                schedule.postpone(time.monotonic())
+            elif self._run_attempt(connection, server):
+                return True
         return False
 
+    def _run_attempt(self, connection: ClientConnection, server: Server) -> bool:
+        """Makes one attempt. Returns True if it is established; its connection is closed otherwise."""
+        request_line = connection.request_line
+        assert request_line is not None
+        timeout_s = self._schedule.start(time.monotonic())
+        deadline_s = timeout_s if request_line.deadline_s is None else min(timeout_s, request_line.deadline_s)
+        plan = AttemptPlan(
+            request_line.with_deadline(max(1, int(deadline_s * 1000.0))),
+            server.address,
+            self._service.config.connect_timeout_s,
+            timeout_s,
+        )
+        self._server = server
+        driver = AttemptDriver(self._service.dial, plan)
+        connection.attempt_driver = driver
+        driver.run(self)
+        return driver.protocol.established
+
     def _report_established(self, connection: ClientConnection) -> bool:
         request_line = connection.request_line
         assert request_line is not None
-        server = self._service.gateway.server(request_line.resumes_at or "")
-        assert server is not None
+        assert self._server is not None
         incoming = self._service.intake.incoming_request(connection, request_line)
-        connection.attempt = self._service.gateway.resume(connection, server, incoming)
+        connection.attempt = self._service.gateway.resume(connection, self._server, incoming)
         connection.request = connection.attempt.request
         return True
--- a/ironmill/requests/gateway.py
+++ b/ironmill/requests/gateway.py
@@ -17,11 +17,14 @@
     Established,
     HandoverStarted,
     HealthChecked,
+    Idempotency,
     Outcome,
     Request,
+    RequestClass,
     Resumed,
     SampleKind,
 )
+from ironmill.balancing.resume_schedule import ResumeSchedule
 from ironmill.configuration.proxy_config import Config
 from ironmill.protocol.discovery import EndpointUpdate
 from ironmill.requests.action_executor import ActionExecutor, ExecutorDependencies
@@ -142,6 +145,14 @@
         leaving_since = attempt.server.leaving_since
         return leaving_since is None or self.now() - leaving_since < self._config.drain_grace_s - DRAIN_LEAD_S
 
+    def resume_schedule(self, class_name: str, deadline: float, retry_interval_s: float) -> ResumeSchedule:
+        """Returns when a connection from before the start is attempted, until ``deadline`` (monotonic)."""
+        settings = self._config.settings
+        request_class = next((cls for cls in settings.classes if cls.name == class_name), None)
+        if request_class is None:  # a class that is not in the settings counts as not idempotent
+            request_class = RequestClass(class_name, 0.0, 0.0, 0.0, Idempotency.NONE)
+        return ResumeSchedule(request_class, settings.max_attempts, deadline, retry_interval_s)
+
     def use_health_checker(self, checker: HealthChecker) -> None:
         """Sets the driver of health checks. Without a driver, health checks are skipped."""
         self._executor.health_checker = checker
