Resume: connections of a server that restarts keep its slow start

Cause: resumed connections never asked the slow-start budget. Such a server has lost the connection, so it is a new one there.

Change: at a server that started after the line arrived, an attempt takes a connection from the budget, or waits. A server that was starting before the line is not concerned.

Test: ten connections in the first second before, within the tolerance of the rule (three) now; it failed before.

--- a/ironmill/balancing/balancer.py
+++ b/ironmill/balancing/balancer.py
@@ -114,6 +114,16 @@
         table = self._counts.table
         return {server_id: table.count(server_id) for server_id in self._state.servers if server_id in table}
 
+    def may_resume_at(self, server_id: int, opened_at: float, now: float) -> bool:
+        """Takes a connection to a server that restarted after ``opened_at`` from its slow-start budget.
+
+        Returns False if the budget is used up, and True for any other server.
+        """
+        server = self._state.servers.get(server_id)
+        if server is None or server.started_at <= opened_at:
+            return True
+        return not self._slow_start.is_warming_up(server, now) or self._slow_start.take(server, now)
+
     def ejected(self) -> set[int]:
         """Returns the ready servers that receive no new requests because of consecutive failures."""
         return self._breaker.ejected()
--- a/ironmill/balancing/slow_start.py
+++ b/ironmill/balancing/slow_start.py
@@ -105,6 +105,13 @@
             server.slow_start_tokens = int(grant + self._rng.random())
         return server.slow_start_tokens > 0
 
+    def take(self, server: ServerState, now: float) -> bool:
+        """Takes one connection from the budget of a server in slow start; returns False if none is left."""
+        if not self.allows(server, now):
+            return False
+        server.slow_start_tokens -= 1
+        return True
+
     def _add_connection_seconds(self, now: float) -> None:
         self._connection_seconds += self._connections * (now - self._connection_seconds_at)
         self._connection_seconds_at = now
--- a/ironmill/net/clients/attempts.py
+++ b/ironmill/net/clients/attempts.py
@@ -153,11 +153,12 @@
 class ResumedAttempt(ClientAttempt):
     """Attempts that reconnect a client to the server it was connected to before the proxy started."""
 
-    __slots__ = ("_schedule", "_server")
+    __slots__ = ("_opened_at", "_schedule", "_server")
 
-    def __init__(self, connection: ClientConnection) -> None:
-        """Creates the attempts for the connection's request line, whose time begins now."""
+    def __init__(self, connection: ClientConnection, opened_at: float) -> None:
+        """Creates the attempts of a request line that arrived at ``opened_at``, on the gateway's clock."""
         super().__init__(connection, None)
+        self._opened_at = opened_at
         request_line = connection.request_line
         assert request_line is not None
         self._schedule = self._service.gateway.resume_schedule(
@@ -197,20 +198,27 @@
     def _run_attempts(self, connection: ClientConnection) -> bool:
         """Returns False if the connection is not established in time or its client has closed."""
         schedule = self._schedule
-        request_line = connection.request_line
-        assert request_line is not None
-        server_uid = request_line.resumes_at or ""
         while (start_at := schedule.next_start(time.monotonic())) is not None:
             self._service.scheduler.sleep(max(0.0, start_at - time.monotonic()))
             if not self._check_client():
                 return False
-            server = self._service.gateway.server(server_uid)
+            server = self._available_server(connection)
             if server is None:
                 schedule.postpone(time.monotonic())
             elif self._run_attempt(connection, server):
                 return True
         return False
 
+    def _available_server(self, connection: ClientConnection) -> Server | None:
+        """Returns the connection's server; None while it is not listed or may not get another connection."""
+        request_line = connection.request_line
+        assert request_line is not None
+        gateway = self._service.gateway
+        server = gateway.server(request_line.resumes_at or "")
+        if server is None or not gateway.may_resume_at(server, self._opened_at):
+            return None
+        return server
+
     def _run_attempt(self, connection: ClientConnection, server: Server) -> bool:
         """Makes one attempt. Returns True if it is established; its connection is closed otherwise."""
         request_line = connection.request_line
--- a/ironmill/net/clients/intake.py
+++ b/ironmill/net/clients/intake.py
@@ -59,7 +59,7 @@
             return
         connection.request_line = line
         if line.resumes_at is not None:
-            resumed = ResumedAttempt(connection)
+            resumed = ResumedAttempt(connection, received_at)
             connection.attempt_task = self._scheduler.spawn(connection.run_guarded, resumed.resume)
             return
         incoming = self.incoming_request(connection, line, received_at)
--- a/ironmill/requests/gateway.py
+++ b/ironmill/requests/gateway.py
@@ -153,6 +153,13 @@
             request_class = RequestClass(class_name, 0.0, 0.0, 0.0, Idempotency.NONE)
         return ResumeSchedule(request_class, settings.max_attempts, deadline, retry_interval_s)
 
+    def may_resume_at(self, server: Server, opened_at: float) -> bool:
+        """Returns False while a server that restarted after ``opened_at`` may get no more connections.
+
+        Such a server does not have the connection any more, which is a new one for its slow start.
+        """
+        return self._balancer.may_resume_at(server.number, opened_at, self.now())
+
     def use_health_checker(self, checker: HealthChecker) -> None:
         """Sets the driver of health checks. Without a driver, health checks are skipped."""
         self._executor.health_checker = checker
--- a/tests/system/test_resume.py
+++ b/tests/system/test_resume.py
@@ -10,7 +10,7 @@
 from ironmill.net.clients import attempts as attempts_module
 from ironmill.net.sockets import Stream
 from ironmill.protocol.discovery import EndpointUpdate, ListedServer
-from tests.support.clients import DEADLINES_S
+from tests.support.clients import DEADLINES_S, connect_instantly
 from tests.support.proxy_under_test import ProxyUnderTest, read_line
 
 RESUME = b"OPEN 1a 2b c=read,d=4294967,at=s-0\r\n"
@@ -157,3 +157,22 @@
         client.close()
 
     ProxyUnderTest().run(scenario)
+
+
+def test_resume_at_a_restarted_server_keeps_its_slow_start() -> None:
+    """Guards against all connections of a server that restarts within the wait at its first moment."""
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        servers = connect_instantly(proxy)
+        clients = [proxy.client(RESUME.replace(b"1a", b"%d" % number)) for number in range(10)]
+        proxy.wait_until(lambda: len(servers) == len(clients))
+        host, port = proxy.listeners[0].address
+        restarted = ListedServer("s-0", host, port, Stage.READY, "a", 0, 1.0, proxy.gateway.now() + 0.01)
+        proxy.scheduler.sleep(0.02)
+        proxy.gateway.on_endpoints(EndpointUpdate(2, False, (restarted,)))
+        for server in servers[:]:
+            server.abort()
+        proxy.scheduler.sleep(1.0)
+        assert len(servers) - len(clients) <= 3  # the tolerance of the rule, without any capacity
+
+    ProxyUnderTest().run(scenario)
