Resume: a line that arrives with the final answers is answered

Callers saw: no answer and a close, where a line with at= is admitted in the turn of the scheduler in which a shutdown or a drain gives all final answers.

Cause: a connection was listed for the final answers by its own task, which runs a turn after the admission. Gateway.resolve_all did not see it.

Change: intake lists it at the admission; the close of its socket removes it.

Test: test_resume_that_arrives_with_the_final_answers_is_answered, which timed out before.

--- a/ironmill/net/clients/attempts.py
+++ b/ironmill/net/clients/attempts.py
@@ -169,12 +169,10 @@
     def resume(self) -> None:
         """Retries until the connection is established, and fails it when its schedule ends. Parks."""
         connection = self._connection
-        resuming = self._service.gateway.resuming
-        resuming.add(connection)
         try:
             established = self._run_attempts(connection)
         finally:
-            resuming.discard(connection)
+            self._service.gateway.resuming.discard(connection)
         if not established and not connection.stream.closed:
             self._service.gateway.counts.add("resume given up")
             connection.fail()
--- a/ironmill/net/clients/connection.py
+++ b/ironmill/net/clients/connection.py
@@ -169,6 +169,7 @@
             self.stream.abort()
 
     def _on_stream_closed(self) -> None:
+        self.service.gateway.resuming.discard(self)
         if self.slot is not None:
             self.service.connection_limiter.leave(self.slot)
         if self.counter is not None:
--- a/ironmill/net/clients/intake.py
+++ b/ironmill/net/clients/intake.py
@@ -60,6 +60,7 @@
         connection.request_line = line
         if line.resumes_at is not None:
             resumed = ResumedAttempt(connection, received_at)
+            self._gateway.resuming.add(connection)  # before its task runs, which a shutdown may precede
             connection.attempt_task = self._scheduler.spawn(connection.run_guarded, resumed.resume)
             return
         incoming = self.incoming_request(connection, line, received_at)
--- a/tests/system/test_resume.py
+++ b/tests/system/test_resume.py
@@ -10,6 +10,7 @@
 from ironmill.net.clients import attempts as attempts_module
 from ironmill.net.sockets import Stream
 from ironmill.protocol.discovery import EndpointUpdate, ListedServer
+from ironmill.requests.connection_limiter import ConnectionSlot
 from tests.support.clients import DEADLINES_S, connect_instantly
 from tests.support.proxy_under_test import ProxyUnderTest, read_line
 
@@ -176,3 +177,21 @@
         assert len(servers) - len(clients) <= 3  # the tolerance of the rule, without any capacity
 
     ProxyUnderTest().run(scenario)
+
+
+def test_resume_that_arrives_with_the_final_answers_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a connection that a shutdown does not answer, as its task has not begun by then."""
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        claim_id = proxy.connection_limiter.claim_id
+
+        def claim_and_resolve(slot: ConnectionSlot, client_id: str) -> bool:
+            proxy.scheduler.spawn(proxy.gateway.resolve_all)  # runs before the task of the connection
+            return claim_id(slot, client_id)
+
+        monkeypatch.setattr(proxy.connection_limiter, "claim_id", claim_and_resolve)
+        client = proxy.client(RESUME)
+        assert read_line(client) == b"ERR\r\n"
+        assert not proxy.gateway.resuming
+
+    ProxyUnderTest().run(scenario)
