Signals: SIGHUP at any moment of a start leaves the process alive

Cause: handlers were installed once all modules were loaded, most of the start. The other end of a process had the same gap, which the new test showed: a signal between the removal of the handlers and the exit gave status -15.

The configuration is read after the handlers are installed, so a SIGHUP that was ignored came before the read, and any other one reloads.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	sh deploy/build.sh
 
 run:
-	.venv/bin/python -m ironmill serve
+	trap '' HUP; exec .venv/bin/python -m ironmill serve
 
 dev: .venv-dev/complete
 
--- a/ironmill/cli.py
+++ b/ironmill/cli.py
@@ -121,7 +121,7 @@
 
 
 def _serve_with_signals(config_path: str | None, settings_path: str | None, poller: str) -> int:
-    # Created before the files are read, since SIGHUP ends a process that has no handler for it.
+    # Created before the files are read, so that a SIGHUP after the read is not missed.
     signals = Signals()
     try:
         return serve(config_path, settings_path, signals, poller)
--- a/ironmill/net/signals.py
+++ b/ironmill/net/signals.py
@@ -8,12 +8,13 @@
 import types
 from collections.abc import Callable
 
+from ironmill.runtime import signal_mask
 from ironmill.runtime.scheduler import READ, Scheduler
+from ironmill.runtime.signal_mask import SERVICE_SIGNALS
 from ironmill.runtime.system_calls import RETRY_INTERVAL_S, retry_at_start
 
 log = logging.getLogger("ironmill.signals")
 
-HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 MAX_READ_BYTES = 4096  # one byte per received signal
 
 
@@ -21,14 +22,15 @@
     """Handles SIGHUP, SIGTERM and SIGINT. Signals before ``start`` are dispatched after it."""
 
     def __init__(self) -> None:
-        """Installs the handlers."""
+        """Installs the handlers, and lets signals through that were blocked until now."""
         # A handler alone cannot wake the scheduler: Python resumes an interrupted poll after the handler.
         self._receiver, self._sender = retry_at_start(socket.socketpair)
         self._receiver.setblocking(False)
         self._sender.setblocking(False)
         self._actions: dict[int, Callable[[], object]] = {}
         signal.set_wakeup_fd(self._sender.fileno(), warn_on_full_buffer=False)
-        self._previous_handlers = {number: signal.signal(number, self._ignore) for number in HANDLED_SIGNALS}
+        self._previous_handlers = {number: signal.signal(number, self._ignore) for number in SERVICE_SIGNALS}
+        self._previous_mask = signal_mask.unblock_service_signals()
 
     @staticmethod
     def _ignore(number: int, frame: types.FrameType | None) -> None:
@@ -43,7 +45,8 @@
         scheduler.spawn(self._run, scheduler)
 
     def close(self) -> None:
-        """Restores the previous handlers."""
+        """Restores the previous mask, so that signals blocked then are blocked again, and handlers."""
+        signal_mask.restore(self._previous_mask)
         signal.set_wakeup_fd(-1)
         for number, handler in self._previous_handlers.items():
             signal.signal(number, handler)
