Drains of servers: every client is told to move within the shortest drain

Cause: balancing/draining moved one connection each 0.2 s, each 1 s beside a server in slow start, more seldom in a large fleet, none while load was shed, and only of those that stood when the news came. A drain that was taken back left its timer to the next one.

Change: each proxy spreads what stands there at random over 1.6 s from the news, as drains last 2 s at least and nobody tells how long. Draining servers are remembered, so what is resumed there later is told too; an old timer does nothing. Budgets of servers in slow start and load shedding limit what comes back, as before.

Two tests asserted the fault and are replaced: one wanted a slower pace beside slow start, now every connection has to be told within 2 s in 27 combinations; test_fleet_drains_server_gradually wanted 0.4 of a fleet of single connections in the first second, which leaves the rest to a server that may be gone after 2 s: now all within 2 s, and at most half in any quarter of it.

--- a/ironmill/balancing/balancer.py
+++ b/ironmill/balancing/balancer.py
@@ -63,7 +63,7 @@
         self._health_checks = HealthChecker(
             state, self._counts, self._breaker, self._overload, self._migration_policy
         )
-        self._draining = Draining(state, self._slow_start, shedder, self._migration_policy)
+        self._draining = Draining(state, self._migration_policy)
         self._endpoints = EndpointList(state, self._counts, self._placement, self._draining)
         self._subscription = Subscription(state)
         self._subscription.start()
@@ -88,6 +88,7 @@
                 self._endpoints_changed(event)
             case Resumed():
                 self._requests.connection_resumed(event)
+                self._draining.connection_resumed(event.server_id)
             case HealthChecked():
                 self._health_checks.result_received(event)
             case Abandoned():
--- a/ironmill/balancing/endpoint_list.py
+++ b/ironmill/balancing/endpoint_list.py
@@ -35,6 +35,7 @@
         """Applies a full list or a delta. Must not be called with a ``FAILED`` event."""
         if event.kind is WatchEventKind.FULL:
             listed = {entry.server_id for entry in event.entries}
+            self._draining.remove_absent(listed)
             for server in list(self._state.servers.values()):
                 if server.server_id not in listed:
                     self._retire(server)
@@ -47,11 +48,14 @@
     def _apply_entry(self, entry: EndpointEntry) -> None:
         server = self._state.servers.get(entry.server_id)
         if entry.stage is not Stage.READY:
+            if entry.stage is Stage.DRAINING:
+                self._draining.started(server, entry.server_id)
+            else:
+                self._draining.removed(entry.server_id)
             if server is not None:
-                if entry.stage is Stage.DRAINING and server.ready and server.connections > 0:
-                    self._draining.schedule(server.server_id)
                 self._retire(server)
             return
+        self._draining.cancelled(entry.server_id)
         if server is None:
             server = ServerState(entry.server_id)
             self._state.servers[entry.server_id] = server
--- a/tests/system/test_resume.py
+++ b/tests/system/test_resume.py
@@ -179,6 +179,24 @@
     ProxyUnderTest().run(scenario)
 
 
+def test_resume_at_a_draining_server_is_moved() -> None:
+    """Guards against clients that come back to a server which drains already, and are not told to move."""
+
+    def scenario(proxy: ProxyUnderTest) -> None:
+        draining = ListedServer("s-0", *proxy.listeners[0].address, Stage.DRAINING, "a", 0, 1.0, 0.0)
+        proxy.gateway.on_endpoints(EndpointUpdate(2, False, (draining,)))
+        clients, attempts = [], []
+        for number in range(5):
+            clients.append(proxy.client(RESUME.replace(b"1a", b"%d" % number)))
+            attempts.append(proxy.next_attempt())
+            read_line(attempts[-1])
+            assert_established(clients[-1], attempts[-1])
+        for client in clients:
+            assert read_line(client) == b"MOVE\r\n"
+
+    ProxyUnderTest().run(scenario)
+
+
 def test_resume_that_arrives_with_the_final_answers_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a connection that a shutdown does not answer, as its task has not begun by then."""
 
--- a/tests/unit/balancing/test_draining.py
+++ b/tests/unit/balancing/test_draining.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import pytest
 from msgspec import structs
 
+from ironmill.balancing.draining import SHORTEST_DRAIN_S
 from ironmill.balancing.interface import (
     Action,
     EndpointEntry,
@@ -24,9 +28,9 @@
     proxy.watch(EndpointEntry(server, stage, zone="a"))
 
 
-def proxy_with_connections(count: int = 4) -> tuple[SimulatedProxy, list[Send]]:
+def proxy_with_connections(count: int = 4, **changes: Any) -> tuple[SimulatedProxy, list[Send]]:
     """Returns a proxy with established connections of both classes on two servers, and their sends."""
-    proxy = SimulatedProxy(2, classes=(IDEMPOTENT, HIGH_PRIORITY))
+    proxy = SimulatedProxy(2, classes=(IDEMPOTENT, HIGH_PRIORITY), **changes)
     established = [
         send
         for index in range(count)
@@ -51,20 +55,84 @@
     assert set(migrated_ids[: len(high_priority)]) == set(high_priority)
 
 
-def test_drain_is_paced_and_slower_beside_server_in_slow_start() -> None:
-    migration_counts = []
-    for started_at in (0.0, 99.5):
-        proxy, _ = proxy_with_connections(8)
-        proxy.watch(EndpointEntry(3, Stage.READY, zone="a", started_at=started_at))
+def drain_of(proxy: SimulatedProxy, server: int, seconds: float = SHORTEST_DRAIN_S) -> list[float]:
+    """Drains a server for so many seconds and returns when each of its connections was migrated."""
+    start = proxy.now
+    list_stage(proxy, server, Stage.DRAINING)
+    migrated_at: list[float] = []
+    while proxy.now < start + seconds - 0.005:
+        count = len(migrated(proxy.run_until(proxy.now + 0.01)))
+        migrated_at += [proxy.now - start] * count
+    return migrated_at
+
+
+@pytest.mark.parametrize("trouble", ["none", "slow start", "shedding"])
+@pytest.mark.parametrize("count", [2, 16, 80])
+@pytest.mark.parametrize("proxies", [1, 4, 200])
+def test_every_connection_is_migrated_within_the_shortest_drain(
+    trouble: str, count: int, proxies: int
+) -> None:
+    """Guards against clients that a draining server cuts off, as the pace did not follow their number."""
+    proxy, established = proxy_with_connections(count, proxies=proxies)
+    if trouble == "slow start":
+        proxy.watch(EndpointEntry(3, Stage.READY, zone="a", started_at=proxy.now - 0.5))
+    if trouble == "shedding":
+        proxy.balancer._requests._admission._shedder._admitted_fraction = 0.1
+    on_server_1 = sum(send.server_id == 1 for send in established)
+    assert len(drain_of(proxy, 1)) == on_server_1
+
+
+def test_migrations_are_spread_over_the_shortest_drain() -> None:
+    """Guards against a burst of clients that come again, at the budgets and queues of the other servers."""
+    proxy, established = proxy_with_connections(160)
+    on_server_1 = sum(send.server_id == 1 for send in established)
+    migrated_at = drain_of(proxy, 1)
+    for start in (0.0, 0.4, 0.8, 1.2):
+        share = sum(start <= moment < start + 0.4 for moment in migrated_at) / on_server_1
+        assert share <= 0.4
+
+
+def test_single_connections_of_a_large_fleet_are_spread_as_well() -> None:
+    """Guards against one connection of each proxy that is migrated at the same moment in all of them."""
+    moments = []
+    for seed in range(200):
+        proxy, _ = proxy_with_connections(2, seed=seed)
+        moments += drain_of(proxy, 1)
+    for start in (0.0, 0.4, 0.8, 1.2):
+        assert sum(start <= moment < start + 0.4 for moment in moments) <= 0.35 * len(moments)
+
+
+def test_connection_that_resumes_at_a_draining_server_is_migrated() -> None:
+    """Guards against connections from before the start that nothing migrates at a known drain."""
+    proxy = SimulatedProxy()
+    proxy.watch(EndpointEntry(1, Stage.DRAINING), EndpointEntry(2, Stage.READY), kind=WatchEventKind.FULL)
+    proxy.run_until(proxy.now + 10.0)
+    for index in range(10):
+        proxy.handle(Resumed(Request(f"c{index}", IDEMPOTENT.name, 0.0), 1))
+    assert len(migrated(proxy.run_until(proxy.now + 1.5))) == 10
+
+
+def test_drain_that_is_taken_back_and_comes_again_has_one_pace() -> None:
+    """Guards against the timer of the first drain, which would double the pace of the second."""
+    first_moments = []
+    for seed in range(60):
+        proxy, _ = proxy_with_connections(2, seed=seed)
+        for _ in range(5):
+            list_stage(proxy, 1, Stage.DRAINING)
+            list_stage(proxy, 1, Stage.READY)
+        first_moments += drain_of(proxy, 1)
+    assert len(first_moments) == 60
+    assert sum(moment > 0.8 for moment in first_moments) >= 20  # with six timers hardly any
+
+
+def test_repeated_news_of_a_drain_does_not_delay_it() -> None:
+    proxy, established = proxy_with_connections(16)
+    on_server_1 = sum(send.server_id == 1 for send in established)
+    count = 0
+    for _ in range(20):
         list_stage(proxy, 1, Stage.DRAINING)
-        start = proxy.now
-        while not migrated(proxy.run_until(proxy.now + 0.01)):
-            assert proxy.now < start + 2.0
-        migration_count = 0
-        while proxy.now < start + 2.0:
-            migration_count += len(migrated(proxy.run_until(proxy.now + 0.05)))
-        migration_counts.append(migration_count)
-    assert migration_counts[0] > migration_counts[1]
+        count += len(migrated(proxy.run_until(proxy.now + 0.1)))
+    assert count == on_server_1
 
 
 def test_drain_migrates_late_connection_and_stops_when_server_is_ready_again() -> None:
--- a/tests/unit/balancing/test_fleet.py
+++ b/tests/unit/balancing/test_fleet.py
@@ -10,6 +10,7 @@
 from msgspec import structs
 
 from ironmill.balancing.connection_groups import preference
+from ironmill.balancing.draining import SHORTEST_DRAIN_S
 from ironmill.balancing.interface import (
     Action,
     CheckHealth,
@@ -180,13 +181,15 @@
 def test_fleet_drains_server_gradually() -> None:
     proxies = fleet(1)
     establish_on_server_1(proxies, 1)
-    in_first_second = later = 0
+    parts = 4  # of the time in which all connections have to be migrated
+    by_part = [0] * parts
     for proxy in proxies:
         proxy.watch(EndpointEntry(1, Stage.DRAINING))
-        in_first_second += count_actions(proxy.run_until(proxy.now + 1.0), Migrate)
-        later += count_actions(proxy.run_until(proxy.now + 9.0), Migrate)
-    assert in_first_second <= 0.4 * FLEET_SIZE
-    assert in_first_second + later == FLEET_SIZE
+        for part in range(parts):
+            actions = proxy.run_until(proxy.now + SHORTEST_DRAIN_S / parts)
+            by_part[part] += count_actions(actions, Migrate)
+    assert max(by_part) <= 0.5 * FLEET_SIZE
+    assert sum(by_part) == FLEET_SIZE
 
 
 def test_unused_slow_start_budget_is_not_carried_over() -> None:
