Discovery: an answer that comes after its call was given up is taken

Cause: a call was given up after 1 s and its connection closed, 0.2 s before the answer, and so was each one after it, with the same limit.

Change: such a call is left to net/late_responses for 5.75 s, beside the next call, so a lost call is repeated as soon as before and a slow one is not lost. Answers that were overtaken are not applied. The timeout follows the time of the answers (1 to 2.5 s; 1 s for a local agent).

--- a/ironmill/net/discovery.py
+++ b/ironmill/net/discovery.py
@@ -9,17 +9,20 @@
 from msgspec import Struct, structs
 
 from ironmill.configuration.proxy_config import Address
-from ironmill.net.sockets import Stream, TimedOutError
+from ironmill.net.http_connection import HttpConnection
+from ironmill.net.late_responses import LateResponses
+from ironmill.net.sockets import TimedOutError
 from ironmill.protocol.discovery import EndpointUpdate, parse_endpoint_update
-from ironmill.protocol.http import HttpError, Response, ResponseParser
+from ironmill.protocol.http import HttpError, Response
 from ironmill.protocol.json_object import JsonObject, MalformedError, parse_json
-from ironmill.requests.discovery_backoff import MAX_CALL_S, DiscoveryBackoff
+from ironmill.requests.discovery_backoff import MAX_CALL_S, MAX_LATE_S, DiscoveryBackoff
 from ironmill.runtime.scheduler import Scheduler, Task
 
 # The time for which discovery may hold a poll until there is a change. It is short because a poll that is
 # lost, or blocked by a hung agent, is noticed only after this time.
 POLL_WAIT_MS = 1_000
-CALL_TIMEOUT_S = MAX_CALL_S  # from the connect to the last byte of the answer, plus the wait of a poll
+# From the connect to the last byte of the answer, plus the wait of a poll, while discovery is not slow.
+CALL_TIMEOUT_S = MAX_CALL_S
 # If an empty endpoint list would replace known servers, the list is requested once more before it is
 # applied, because a fault of discovery is more likely. A longer timeout would delay a genuine empty list past
 # the grace period of draining servers, of which the gateway leaves 0.1 s.
@@ -117,8 +120,10 @@
         self._backoff = backoff
         self._revision = known_revision  # None until the complete list has been received
         self._connection = HttpConnection(scheduler, address)
+        self._late_responses = LateResponses(scheduler)
         self._has_answered = False
         self._is_failing = False
+        self._late_until = 0.0  # how long the answer to the current call is of use
         self._task: Task | None = None
 
     def start(self) -> None:
@@ -129,6 +134,7 @@
         """Ends the watch and drops the answer to a pending call."""
         self._scheduler.kill(self._task)
         self._connection.close()
+        self._late_responses.close()
 
     def _watch(self) -> None:
         if self._revision is not None:  # the known endpoint list is in use during the delay
@@ -144,7 +150,7 @@
                 # The watch continues even after a programming error, or no further change would arrive.
                 self._log_failure(error)
                 self._is_failing = True
-                self._connection.close()
+                self._give_up_call(error)
                 self._listener.on_call()
                 self._scheduler.sleep(self._backoff.failed(time.monotonic() - started_at))
 
@@ -155,17 +161,59 @@
             log.warning("discovery: %s %s", type(error).__name__, error)
 
     def _poll(self) -> None:
-        if self._revision is None:
-            update = self._request(FULL_LIST_PATH, CALL_TIMEOUT_S)
-        else:
+        path, wait_s = FULL_LIST_PATH, 0.0
+        if self._revision is not None:
             wait_ms = self._poll_wait_ms()
-            path = f"/api/targets?after={self._revision}&wait_ms={wait_ms}"
-            update = self._request(path, wait_ms / 1000.0 + CALL_TIMEOUT_S)
+            path, wait_s = f"/api/targets?after={self._revision}&wait_ms={wait_ms}", wait_ms / 1000.0
+        started_at = time.monotonic()
+        self._late_until = started_at + wait_s + MAX_LATE_S
+        revision_before = self._revision
+        update = self._request(path, wait_s + self._backoff.call_timeout_s)
+        self._backoff.answered(time.monotonic() - started_at - wait_s)
+        if self._revision != revision_before and not self._is_news(update):
+            return  # a late response overtook this one
         if update.full and not update.servers and self._listener.server_count():
             update = self._confirm_empty(update)
         if update.full or self._revision is not None:
-            self._listener.on_update(update)
-            self._revision = update.revision  # set last: an update that was not applied is polled again
+            self._apply(update)
+
+    def _apply(self, update: EndpointUpdate) -> None:
+        self._listener.on_update(update)
+        self._revision = update.revision  # set last: an update that was not applied is polled again
+
+    def _is_news(self, update: EndpointUpdate) -> bool:
+        """Returns whether an update that arrives out of order adds to the list in use."""
+        if self._revision is None:
+            return update.full
+        return update.revision > self._revision
+
+    def _give_up_call(self, error: Exception) -> None:
+        """Closes the call's connection, or leaves it to ``LateResponses`` if its answer may still come."""
+        if not isinstance(error, TimedOutError):
+            self._connection.close()
+            return
+        self._backoff.timed_out()
+        if not self._connection.is_awaiting_response:
+            self._connection.close()
+            return
+        started_at = self._late_until - MAX_LATE_S  # from when the answer was due at the earliest
+        self._late_responses.await_response(
+            self._connection, self._late_until, lambda response: self._on_late_response(response, started_at)
+        )
+        self._connection = HttpConnection(self._scheduler, self.address)
+
+    def _on_late_response(self, response: Response, due_at: float) -> None:
+        """Applies the answer to a call that was given up, unless a later call was answered first."""
+        try:
+            update = self._parse(response)
+        except CALL_ERRORS as error:
+            log.info("discovery: late response: %s", error)
+            return
+        self._backoff.answered(time.monotonic() - due_at)
+        is_empty = update.full and not update.servers
+        if self._is_news(update) and not (is_empty and self._listener.server_count()):
+            log.info("discovery: revision %d came late", update.revision)
+            self._apply(update)
 
     def _poll_wait_ms(self) -> int:
         """Returns 0 for the first poll, which clients wait for, and after a failure."""
@@ -191,69 +239,21 @@
         Raises one of ``CALL_ERRORS``, also for a status other than 200.
         """
         was_open = self._connection.is_open
+        revision_before = self._revision
         response = self._connection.get(path, time.monotonic() + timeout_s)
         self._has_answered = True
-        if response.status != 200:
-            raise HttpError(f"status {response.status}")
-        message = JsonObject(parse_json(response.body, "routing table:"), "", "routing table")
-        update = parse_endpoint_update(message)
-        if was_open and self._revision is not None and update.revision < self._revision:
+        update = self._parse(response)
+        if was_open and revision_before is not None and update.revision < revision_before:
             # A duplicate of an earlier answer would restore removed servers. Discovery that restarts its
             # revisions does so on a new connection.
-            raise HttpError(f"received revision {update.revision} after revision {self._revision}")
+            raise HttpError(f"received revision {update.revision} after revision {revision_before}")
         return update
 
-
-class HttpConnection:
-    """An HTTP connection for GET requests, reused while the peer keeps it open."""
-
-    def __init__(self, scheduler: Scheduler, address: Address) -> None:
-        """Creates a closed connection; the first request opens it."""
-        self._scheduler = scheduler
-        self._address = address
-        self._stream: Stream | None = None
-        self._parser = ResponseParser()
-
-    @property
-    def is_open(self) -> bool:
-        """Whether there is a connection that the next request may reuse."""
-        return self._stream is not None
-
-    def get(self, path: str, deadline: float) -> Response:
-        """Sends a request and returns the response.
-
-        Raises ``OSError``, ``HttpError`` or ``TimedOutError``; the caller must then call ``close``.
-        """
-        stream = self._connect(deadline)
-        host, port = self._address
-        request = f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
-        stream.send(request.encode(), _remaining(deadline))
-        while True:
-            data = stream.receive(_remaining(deadline))
-            responses = self._parser.feed(data) if data else [self._parser.end_of_stream()]
-            for response in responses:
-                if response is None:
-                    raise HttpError("connection closed before the response")
-                if not response.keep_alive or len(responses) > 1 or not self._parser.at_message_boundary:
-                    self.close()  # extra bytes must not be taken for the next response
-                return response
-            if time.monotonic() >= deadline:  # read timeouts do not bound a peer that sends single bytes
-                raise TimedOutError
-
-    def close(self) -> None:
-        """Closes the connection if it is open."""
-        if self._stream is not None:
-            self._stream.close()
-            self._stream = None
-
-    def _connect(self, deadline: float) -> Stream:
-        if self._stream is not None and self._stream.is_stale():
-            self.close()
-        if self._stream is None:
-            self._stream = Stream.connect(self._scheduler, self._address, _remaining(deadline))
-            self._parser = ResponseParser()
-        return self._stream
-
-
-def _remaining(deadline: float) -> float:
-    return max(0.0, deadline - time.monotonic())
+    @staticmethod
+    def _parse(response: Response) -> EndpointUpdate:
+        """Raises ``HttpError`` for a status other than 200, and ``MalformedError`` for an invalid body."""
+        if response.status != 200:
+            raise HttpError(f"status {response.status}")
+        return parse_endpoint_update(
+            JsonObject(parse_json(response.body, "routing table:"), "", "routing table")
+        )
--- a/ironmill/requests/connection_limiter.py
+++ b/ironmill/requests/connection_limiter.py
@@ -17,9 +17,9 @@
 
 # Descriptors for other purposes: 3 for the standard streams, 1 for the poller, 2 for signals, 3 for listeners
 # (clients, TLS, admin API), 12 for connections to the admin API, 2 for discovery while its address changes,
-# 1 for a file being read, 1 for membership, 20 for health checks, and 1 for the connection being accepted.
-# The sum is rounded up.
-RESERVED_DESCRIPTORS = 48
+# 4 for its late responses, 1 for a file being read, 1 for membership, 20 for health checks, and 1 for the
+# connection being accepted.
+RESERVED_DESCRIPTORS = 50
 # If silent connections have 1 / SILENT_DIVISOR of the configured descriptors, each new connection evicts one
 # of them. Leaving connections have at most 1 / LEAVING_DIVISOR. Almost a third each then remains for requests
 # and for their attempts.
--- a/ironmill/requests/discovery_backoff.py
+++ b/ironmill/requests/discovery_backoff.py
@@ -22,6 +22,12 @@
 # A large fleet therefore calls more often than every ``MEAN_CALL_INTERVAL_S``.
 MAX_CALL_GAP_S = NOTIFICATION_TIMEOUT_S - MAX_CALL_S - TIMING_MARGIN_S
 MAX_PAUSE_S = MAX_CALL_GAP_S - MAX_CALL_S  # pause after a call that took ``MAX_CALL_S``
+# A call that is not answered by its timeout is made again, while its answer is still awaited beside that. The
+# timeout follows the time that answers take, so that a slow discovery is not called much more often than it
+# answers.
+MAX_CALL_TIMEOUT_S = 2.5
+ANSWER_TIME_FACTOR = 1.5  # of the last answer's time
+MAX_LATE_S = NOTIFICATION_TIMEOUT_S - TIMING_MARGIN_S  # after which a later answer is of no use
 MIN_PAUSE_FRACTION = 0.8  # each pause is random, between this fraction of its upper limit and the limit
 MAX_DOUBLINGS = 16
 
@@ -48,6 +54,26 @@
         self._mean_interval_s = MEAN_CALL_INTERVAL_S * (max(1, proxies) if polls_discovery else 1)
         self._rng = rng
         self._failures = 0
+        self._call_timeout_s = MAX_CALL_S
+
+    @property
+    def call_timeout_s(self) -> float:
+        """How long an answer is awaited before the next call, without the time that discovery may hold it."""
+        return self._call_timeout_s
+
+    def answered(self, answer_time_s: float) -> None:
+        """Sets the timeout by the time that an answer took, without the time for which it could be held.
+
+        A local agent answers at once or is down, so its timeout stays short.
+        """
+        if self._polls_discovery:
+            timeout_s = ANSWER_TIME_FACTOR * answer_time_s
+            self._call_timeout_s = min(MAX_CALL_TIMEOUT_S, max(MAX_CALL_S, timeout_s))
+
+    def timed_out(self) -> None:
+        """Doubles the timeout of the next call, up to its limit."""
+        if self._polls_discovery:
+            self._call_timeout_s = min(MAX_CALL_TIMEOUT_S, 2.0 * self._call_timeout_s)
 
     @property
     def answers_immediately(self) -> bool:
@@ -80,7 +106,7 @@
             return RECONNECT_DELAY_S
         # The upper limit at which the mean of the pauses equals this proxy's interval.
         interval_limit = 2.0 / (1.0 + MIN_PAUSE_FRACTION) * self._mean_interval_s
-        gap_limit = MAX_CALL_GAP_S - min(duration_s, MAX_CALL_S)
+        gap_limit = MAX_CALL_GAP_S - min(duration_s, MAX_CALL_TIMEOUT_S)
         doubling_limit = RECONNECT_DELAY_S * 2.0 ** min(self._failures, MAX_DOUBLINGS)
         max_pause = min(interval_limit, gap_limit, doubling_limit)
         pause = max_pause * (MIN_PAUSE_FRACTION + (1.0 - MIN_PAUSE_FRACTION) * self._rng.random())
--- a/tests/unit/requests/test_discovery_backoff.py
+++ b/tests/unit/requests/test_discovery_backoff.py
@@ -118,3 +118,33 @@
         backoff = DiscoveryBackoff(2800, random.Random(number))
         pauses = [backoff.failed(call_duration_s) for _ in range(40)]
         assert call_duration_s + max(pauses) + MAX_CALL_S <= NOTIFICATION_TIMEOUT_S - TIMING_MARGIN_S
+
+
+def test_timeout_of_a_call_follows_the_time_of_the_answers() -> None:
+    """Guards against a slow discovery whose calls are all given up just before their answers."""
+    backoff = DiscoveryBackoff(4, random.Random(1))
+    assert backoff.call_timeout_s == MAX_CALL_S
+    backoff.timed_out()
+    assert backoff.call_timeout_s == 2.0 * MAX_CALL_S
+    backoff.answered(1.2)
+    assert backoff.call_timeout_s > 1.2
+    backoff.answered(0.01)
+    assert backoff.call_timeout_s == MAX_CALL_S
+
+
+@pytest.mark.parametrize("proxies", [1, 4, 200, 2800])
+def test_calls_of_a_slow_discovery_are_close_enough_for_its_notices(proxies: int) -> None:
+    """Guards against a pause behind a long call, with which a change would be told too late."""
+    backoff = DiscoveryBackoff(proxies, random.Random(1))
+    for _ in range(30):
+        backoff.timed_out()
+        timeout_s = backoff.call_timeout_s
+        assert timeout_s + backoff.failed(timeout_s) + MAX_CALL_S <= NOTIFICATION_TIMEOUT_S - TIMING_MARGIN_S
+
+
+def test_timeout_of_a_call_to_the_local_agent_stays_short() -> None:
+    """Guards against an agent that is back after an outage, and is asked again only after a long timeout."""
+    backoff = DiscoveryBackoff(4, random.Random(1), polls_discovery=False)
+    backoff.timed_out()
+    backoff.answered(5.0)
+    assert backoff.call_timeout_s == MAX_CALL_S
