--- a/tests/unit/balancing/test_draining.py
+++ b/tests/unit/balancing/test_draining.py
@@ -82,9 +82,12 @@
     assert len(drain_of(proxy, 1)) == on_server_1
 
 
-def test_migrations_are_spread_over_the_shortest_drain() -> None:
+@pytest.mark.parametrize("slow_start", [False, True])
+def test_migrations_are_spread_over_the_shortest_drain(slow_start: bool) -> None:
     """Guards against a burst of clients that come again, at the budgets and queues of the other servers."""
     proxy, established = proxy_with_connections(160)
+    if slow_start:
+        proxy.watch(EndpointEntry(3, Stage.READY, zone="a", started_at=proxy.now - 0.5))
     on_server_1 = sum(send.server_id == 1 for send in established)
     migrated_at = drain_of(proxy, 1)
     for start in (0.0, 0.4, 0.8, 1.2):
